--- /dev/null
+++ b/admin/server.go
@@ -0,0 +1,171 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"sequoiamill.example/sequoiamill/api/opsv1"
+	"sequoiamill.example/sequoiamill/api/opsv1/opsv1connect"
+	"sequoiamill.example/sequoiamill/codec"
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/trace"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+const waitInterval = 100 * time.Millisecond
+
+// View is what a node knows of itself and the fleet.
+type View struct {
+	Self    types.InstanceID
+	Version types.Version
+	Floor   types.Version
+	Refused conf.Refused
+	Members []fleet.Member
+}
+
+// Service is what the operators' interface needs of its node.
+type Service struct {
+	Publisher *Publisher
+	View      func() View
+	// Published tells the node of a new version in the platform.
+	Published func(version types.Version)
+	// Timeline returns the node's own events.
+	Timeline func(filter trace.Filter) []trace.Entry
+	// Collect returns a peer's own events.
+	Collect func(ctx context.Context, address types.Address, request *opsv1.TimelineRequest) ([]trace.Entry, error)
+}
+
+// NewHandler returns the path and handler that serve operators.
+func NewHandler(service Service) (string, http.Handler) {
+	return opsv1connect.NewOperatorHandler(&server{service: service})
+}
+
+type server struct{ service Service }
+
+// Get returns the configuration that the platform holds.
+func (sv *server) Get(ctx context.Context, _ *connect.Request[opsv1.GetRequest]) (*connect.Response[opsv1.GetResponse], error) {
+	snap, err := sv.service.Publisher.Read(ctx)
+	if err != nil {
+		return nil, codec.FaultToRPC(err)
+	}
+	return connect.NewResponse(&opsv1.GetResponse{
+		Version:  uint64(snap.Version()),
+		ChangeId: string(snap.Root().Change),
+		Config:   codec.ConfigToProto(snap.Config()),
+	}), nil
+}
+
+// Apply publishes a change.
+func (sv *server) Apply(ctx context.Context, request *connect.Request[opsv1.ApplyRequest]) (*connect.Response[opsv1.ApplyResponse], error) {
+	change, err := changeFromProto(request.Msg)
+	if err != nil {
+		return nil, codec.FaultToRPC(err)
+	}
+	accepted, err := sv.service.Publisher.Publish(ctx, change)
+	if err != nil {
+		return nil, codec.FaultToRPC(err)
+	}
+	sv.service.Published(accepted.Version)
+	return connect.NewResponse(&opsv1.ApplyResponse{Version: uint64(accepted.Version), Repeated: accepted.Repeated}), nil
+}
+
+func changeFromProto(wire *opsv1.ApplyRequest) (Change, error) {
+	config, err := codec.ConfigFromProto(wire.GetConfig())
+	if err != nil {
+		return Change{}, err
+	}
+	change := Change{
+		ID:      types.ChangeID(wire.GetChangeId()),
+		Base:    types.Version(wire.GetBaseVersion()),
+		Config:  config,
+		Replace: wire.GetReplace(),
+	}
+	for _, item := range wire.GetDelete() {
+		key, err := codec.KeyFromProto(item)
+		if err != nil {
+			return Change{}, err
+		}
+		change.Delete = append(change.Delete, key)
+	}
+	return change, nil
+}
+
+// Status reports which nodes hold which version.
+func (sv *server) Status(context.Context, *connect.Request[opsv1.StatusRequest]) (*connect.Response[opsv1.StatusResponse], error) {
+	view := sv.service.View()
+	status := &opsv1.StatusResponse{Instance: string(view.Self), Version: uint64(view.Version), Floor: uint64(view.Floor)}
+	if view.Refused.Err != nil {
+		status.RefusedRoot = view.Refused.Err.Error()
+	}
+	for _, member := range view.Members {
+		status.Nodes = append(status.Nodes, nodeToProto(member))
+	}
+	return connect.NewResponse(status), nil
+}
+
+func nodeToProto(member fleet.Member) *opsv1.NodeStatus {
+	return &opsv1.NodeStatus{
+		Instance: string(member.ID),
+		Zone:     string(member.Zone),
+		Region:   string(member.Region),
+		Service:  string(member.Service),
+		State:    member.Status.String(),
+		Version:  uint64(member.Held),
+		Upstream: member.TakesWork(),
+	}
+}
+
+// Wait streams progress until a version is in force on every live node.
+func (sv *server) Wait(ctx context.Context, request *connect.Request[opsv1.WaitRequest], stream *connect.ServerStream[opsv1.WaitResponse]) error {
+	if limit := request.Msg.GetLimit(); limit != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit.AsDuration())
+		defer cancel()
+	}
+	for {
+		progress := progressOf(sv.service.View(), types.Version(request.Msg.GetVersion()))
+		if err := stream.Send(progress); err != nil {
+			return err
+		}
+		if progress.GetInForce() || !pause(ctx, waitInterval) {
+			return nil
+		}
+	}
+}
+
+func progressOf(view View, version types.Version) *opsv1.WaitResponse {
+	progress := &opsv1.WaitResponse{Version: uint64(version)}
+	for _, member := range view.Members {
+		if member.Status != fleet.Alive && member.Status != fleet.Suspect {
+			continue
+		}
+		progress.Total++
+		if member.Held >= version {
+			progress.Holding++
+			continue
+		}
+		progress.Lagging = append(progress.Lagging, string(member.ID))
+	}
+	progress.InForce = progress.GetHolding() == progress.GetTotal()
+	return progress
+}
+
+// Timeline returns the merged events of all reachable nodes.
+func (sv *server) Timeline(ctx context.Context, request *connect.Request[opsv1.TimelineRequest]) (*connect.Response[opsv1.TimelineResponse], error) {
+	filter := codec.FilterFromProto(request.Msg)
+	lists := [][]trace.Entry{sv.service.Timeline(filter)}
+	response := &opsv1.TimelineResponse{}
+	if !request.Msg.GetLocal() {
+		others, unreachable := sv.collect(ctx, request.Msg)
+		lists = append(lists, others...)
+		response.Unreachable = unreachable
+	}
+	for _, entry := range trace.Merge(filter.Limit, lists...) {
+		response.Events = append(response.Events, codec.EntryToProto(entry))
+	}
+	return connect.NewResponse(response), nil
+}
--- /dev/null
+++ b/cmd/sequoiamill/main.go
@@ -0,0 +1,17 @@
+// Command sequoiamill runs a node of the mesh and the operator's tools.
+//
+// # Usage
+//
+//	sequoiamill demo
+//	sequoiamill node --instance kol-1 --zone kolkata --platform http://127.0.0.1:8001
+//	sequoiamill apply --admin 127.0.0.1:9001 --wait examples/board.yaml
+package main
+
+import (
+	"os"
+	_ "time/tzdata"
+
+	"sequoiamill.example/sequoiamill/verbs"
+)
+
+func main() { os.Exit(verbs.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/codec/bundle.go
@@ -0,0 +1,191 @@
+package codec
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+// MaxObject is the largest stored value in bytes, as the platform allows.
+const MaxObject = 1 << 20
+
+type rootWire struct {
+	Version uint64         `json:"version"`
+	Change  string         `json:"change-id"`
+	Entries []entryWire    `json:"entries"`
+	Recent  []acceptedWire `json:"recent"`
+}
+
+type entryWire struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	Hash string `json:"hash"`
+}
+
+type acceptedWire struct {
+	Change  string `json:"change-id"`
+	Version uint64 `json:"version"`
+}
+
+// HashOf returns the content hash of a body.
+func HashOf(body []byte) types.Hash {
+	sum := sha256.Sum256(body)
+	return types.Hash(hex.EncodeToString(sum[:]))
+}
+
+// Seal encodes a configuration as the bundle of one version. The entries of
+// the given root are replaced by those of the configuration.
+func Seal(root conf.Root, config conf.Config) (conf.Bundle, error) {
+	bundle := conf.Bundle{Bodies: map[types.Hash][]byte{}}
+	root.Entries = nil
+	wire := configToWire(config)
+	add := func(kind conf.ResourceKind, name string, item any) error {
+		body, err := json.Marshal(item)
+		if err != nil {
+			return errors.WithMessage(err, "encode resource")
+		}
+		if len(body) > MaxObject {
+			return fault.New(fault.TooLarge, "%s %q has %d bytes of at most %d", kind, name, len(body), MaxObject)
+		}
+		hash := HashOf(body)
+		bundle.Bodies[hash] = body
+		root.Entries = append(root.Entries, conf.Entry{Key: conf.Key{Kind: kind, Name: name}, Hash: hash})
+		return nil
+	}
+	for _, service := range wire.Services {
+		if err := add(conf.ServiceKind, service.Name, service); err != nil {
+			return conf.Bundle{}, err
+		}
+	}
+	for _, route := range wire.Routes {
+		if err := add(conf.RouteKind, route.Name, route); err != nil {
+			return conf.Bundle{}, err
+		}
+	}
+	for _, rule := range wire.UpstreamRules {
+		if err := add(conf.UpstreamRuleKind, rule.Name, rule); err != nil {
+			return conf.Bundle{}, err
+		}
+	}
+	body, err := writeRoot(root)
+	if err != nil {
+		return conf.Bundle{}, err
+	}
+	bundle.RootBody = body
+	return bundle, nil
+}
+
+func writeRoot(root conf.Root) ([]byte, error) {
+	wire := rootWire{Version: uint64(root.Version), Change: string(root.Change)}
+	for _, entry := range root.Entries {
+		wire.Entries = append(wire.Entries, entryWire{Kind: entry.Key.Kind.String(), Name: entry.Key.Name, Hash: string(entry.Hash)})
+	}
+	for _, accepted := range root.Recent {
+		wire.Recent = append(wire.Recent, acceptedWire{Change: string(accepted.Change), Version: uint64(accepted.Version)})
+	}
+	body, err := json.Marshal(wire)
+	if err != nil {
+		return nil, errors.WithMessage(err, "encode root")
+	}
+	if len(body) > MaxObject {
+		return nil, fault.New(fault.TooLarge, "the root has %d bytes of at most %d", len(body), MaxObject)
+	}
+	return body, nil
+}
+
+// ReadRoot decodes a root body.
+func ReadRoot(body []byte) (conf.Root, error) {
+	if len(body) > MaxObject {
+		return conf.Root{}, fault.New(fault.ConfigRefused, "the root has %d bytes of at most %d", len(body), MaxObject)
+	}
+	var wire rootWire
+	if err := strictJSON(body, &wire); err != nil {
+		return conf.Root{}, fault.Wrap(fault.ConfigRefused, err, "decode root")
+	}
+	root := conf.Root{Version: types.Version(wire.Version), Change: types.ChangeID(wire.Change)}
+	for _, item := range wire.Entries {
+		kind, ok := conf.ParseResourceKind(item.Kind)
+		if !ok {
+			return conf.Root{}, fault.New(fault.ConfigRefused, "decode root: unknown resource kind %q", item.Kind)
+		}
+		root.Entries = append(root.Entries, conf.Entry{Key: conf.Key{Kind: kind, Name: item.Name}, Hash: types.Hash(item.Hash)})
+	}
+	for _, item := range wire.Recent {
+		root.Recent = append(root.Recent, conf.Accepted{Change: types.ChangeID(item.Change), Version: types.Version(item.Version)})
+	}
+	if root.Version == 0 {
+		return conf.Root{}, fault.New(fault.ConfigRefused, "decode root: the version is 0")
+	}
+	return root, nil
+}
+
+// Open checks the hashes of a bundle, decodes it and validates the result.
+func Open(bundle conf.Bundle) (conf.Snapshot, error) {
+	root, err := ReadRoot(bundle.RootBody)
+	if err != nil {
+		return conf.Snapshot{}, err
+	}
+	var wire fileWire
+	for _, entry := range root.Entries {
+		if err := openEntry(&wire, entry, bundle); err != nil {
+			return conf.Snapshot{}, err
+		}
+	}
+	config, err := wire.domain()
+	if err != nil {
+		return conf.Snapshot{}, err
+	}
+	return conf.NewSnapshot(root, HashOf(bundle.RootBody), config, bundle)
+}
+
+func openEntry(wire *fileWire, entry conf.Entry, bundle conf.Bundle) error {
+	body, ok := bundle.Bodies[entry.Hash]
+	if !ok {
+		return fault.New(fault.ConfigRefused, "%s %q: body %s is missing", entry.Key.Kind, entry.Key.Name, entry.Hash)
+	}
+	if HashOf(body) != entry.Hash {
+		return fault.New(fault.ConfigRefused, "%s %q: body does not have the hash %s", entry.Key.Kind, entry.Key.Name, entry.Hash)
+	}
+	var name string
+	var err error
+	switch entry.Key.Kind {
+	case conf.ServiceKind:
+		var item serviceWire
+		err = strictJSON(body, &item)
+		wire.Services, name = append(wire.Services, item), item.Name
+	case conf.RouteKind:
+		var item routeWire
+		err = strictJSON(body, &item)
+		wire.Routes, name = append(wire.Routes, item), item.Name
+	case conf.UpstreamRuleKind:
+		var item ruleWire
+		err = strictJSON(body, &item)
+		wire.UpstreamRules, name = append(wire.UpstreamRules, item), item.Name
+	}
+	if err != nil {
+		return fault.New(fault.ConfigRefused, "%s %q: %v", entry.Key.Kind, entry.Key.Name, err)
+	}
+	if name != entry.Key.Name {
+		return fault.New(fault.ConfigRefused, "%s %q: the body names %q", entry.Key.Kind, entry.Key.Name, name)
+	}
+	return nil
+}
+
+func strictJSON(body []byte, target any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return err
+	}
+	if decoder.More() {
+		return errors.New("trailing data after the value")
+	}
+	return nil
+}
--- /dev/null
+++ b/codec/fault.go
@@ -0,0 +1,44 @@
+package codec
+
+import (
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"sequoiamill.example/sequoiamill/fault"
+)
+
+const (
+	kindHeader       = "sequoiamill-error-kind"
+	retryAfterHeader = "sequoiamill-retry-after-millis"
+)
+
+// FaultToRPC encodes an error as an RPC error with its kind and wait.
+func FaultToRPC(err error) *connect.Error {
+	known := fault.From(err)
+	wire := connect.NewError(connect.Code(fault.AnswerOf(known.Kind).RPCCode), errors.New(known.Message))
+	wire.Meta().Set(kindHeader, known.Kind.String())
+	if known.RetryAfter > 0 {
+		wire.Meta().Set(retryAfterHeader, strconv.FormatInt(known.RetryAfter.Milliseconds(), 10))
+	}
+	return wire
+}
+
+// FaultFromRPC decodes an RPC error. An error without a kind is Unreachable.
+func FaultFromRPC(err error) *fault.Error {
+	var wire *connect.Error
+	if !errors.As(err, &wire) {
+		return fault.From(err)
+	}
+	kind, ok := fault.ParseKind(wire.Meta().Get(kindHeader))
+	if !ok {
+		return fault.New(fault.Unreachable, "%s", wire.Message())
+	}
+	known := fault.New(kind, "%s", wire.Message())
+	if millis, err := strconv.ParseInt(wire.Meta().Get(retryAfterHeader), 10, 64); err == nil {
+		known = known.WithRetryAfter(time.Duration(millis) * time.Millisecond)
+	}
+	return known
+}
--- /dev/null
+++ b/codec/hours.go
@@ -0,0 +1,88 @@
+package codec
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiamill.example/sequoiamill/conf"
+)
+
+func (w hoursWire) domain() (conf.Hours, error) {
+	location, err := time.LoadLocation(w.TimeZone)
+	if err != nil || w.TimeZone == "" || w.TimeZone == "Local" {
+		return conf.Hours{}, errors.Errorf("time-zone %q is not known", w.TimeZone)
+	}
+	hours := conf.Hours{TimeZone: w.TimeZone, Location: location}
+	for _, span := range w.Spans {
+		parsed, err := span.domain()
+		if err != nil {
+			return conf.Hours{}, err
+		}
+		hours.Spans = append(hours.Spans, parsed)
+	}
+	return hours, nil
+}
+
+func (w spanWire) domain() (conf.Span, error) {
+	from, err := parseClock(w.From)
+	if err != nil {
+		return conf.Span{}, err
+	}
+	to, err := parseClock(w.To)
+	if err != nil {
+		return conf.Span{}, err
+	}
+	span := conf.Span{From: from, To: to}
+	for _, name := range w.Days {
+		weekday, err := parseDay(name)
+		if err != nil {
+			return conf.Span{}, err
+		}
+		span.Days = append(span.Days, weekday)
+	}
+	return span, nil
+}
+
+func hoursToWire(hours conf.Hours) *hoursWire {
+	wire := &hoursWire{TimeZone: hours.TimeZone}
+	for _, span := range hours.Spans {
+		item := spanWire{From: formatClock(span.From), To: formatClock(span.To)}
+		for _, weekday := range span.Days {
+			item.Days = append(item.Days, formatDay(weekday))
+		}
+		wire.Spans = append(wire.Spans, item)
+	}
+	return wire
+}
+
+func parseClock(text string) (conf.Clock, error) {
+	var hour, minute int
+	var rest string
+	count, _ := fmt.Sscanf(text+" end", "%d:%d %s", &hour, &minute, &rest)
+	valid := count == 3 && rest == "end" && len(text) == len("00:00") && hour >= 0 && minute >= 0 && minute < 60
+	if !valid || hour*60+minute > 24*60 {
+		return 0, errors.Errorf("time of day %q is not of the form 15:04", text)
+	}
+	return conf.Clock(time.Duration(hour)*time.Hour + time.Duration(minute)*time.Minute), nil
+}
+
+func formatClock(clock conf.Clock) string {
+	minutes := int(time.Duration(clock) / time.Minute)
+	return fmt.Sprintf("%02d:%02d", minutes/60, minutes%60)
+}
+
+func parseDay(name string) (time.Weekday, error) {
+	for weekday := time.Sunday; weekday <= time.Saturday; weekday++ {
+		if formatDay(weekday) == name {
+			return weekday, nil
+		}
+	}
+	return 0, errors.Errorf("day %q is not one of mon, tue, wed, thu, fri, sat, sun", name)
+}
+
+func formatDay(weekday time.Weekday) string {
+	return strings.ToLower(weekday.String()[:3])
+}
--- /dev/null
+++ b/codec/ops.go
@@ -0,0 +1,166 @@
+package codec
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"sequoiamill.example/sequoiamill/api/opsv1"
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/trace"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+// ConfigToProto encodes a configuration for operators.
+func ConfigToProto(config conf.Config) *opsv1.Config {
+	wire := &opsv1.Config{}
+	for _, service := range config.Services {
+		wire.Services = append(wire.Services, &opsv1.Service{Name: string(service.Name)})
+	}
+	for _, route := range config.Routes {
+		wire.Routes = append(wire.Routes, &opsv1.Route{
+			Name:       string(route.Name),
+			Service:    string(route.Service),
+			Match:      &opsv1.Match{Host: route.Match.Host, PathPrefix: route.Match.PathPrefix, Methods: route.Match.Methods.Sorted()},
+			Idempotent: route.Idempotent,
+			Importance: opsv1.Importance(route.Importance),
+			Deadline:   durationpb.New(route.Deadline),
+			Hedge:      route.Hedge,
+		})
+	}
+	for _, rule := range config.Rules {
+		wire.UpstreamRules = append(wire.UpstreamRules, ruleToProto(rule))
+	}
+	return wire
+}
+
+func ruleToProto(rule conf.UpstreamRule) *opsv1.UpstreamRule {
+	wire := &opsv1.UpstreamRule{
+		Name:        string(rule.Name),
+		Service:     string(rule.Service),
+		Slots:       uint32(rule.Slots),
+		Connections: uint32(rule.Connections),
+		WarmUp:      durationpb.New(rule.WarmUp),
+		RequireEcho: rule.RequireEcho,
+	}
+	for _, zone := range rule.Zones.Sorted() {
+		wire.Zones = append(wire.Zones, string(zone))
+	}
+	if hours, ok := rule.Hours.Get(); ok {
+		spans := hoursToWire(hours)
+		wire.Hours = &opsv1.Hours{TimeZone: spans.TimeZone}
+		for _, span := range spans.Spans {
+			wire.Hours.Spans = append(wire.Hours.Spans, &opsv1.Span{Days: span.Days, From: span.From, To: span.To})
+		}
+	}
+	return wire
+}
+
+// ConfigFromProto decodes a configuration of an operator.
+func ConfigFromProto(wire *opsv1.Config) (conf.Config, error) {
+	var file fileWire
+	for _, service := range wire.GetServices() {
+		file.Services = append(file.Services, serviceWire{Name: service.GetName()})
+	}
+	for _, route := range wire.GetRoutes() {
+		file.Routes = append(file.Routes, routeWireOf(route))
+	}
+	for _, rule := range wire.GetUpstreamRules() {
+		file.UpstreamRules = append(file.UpstreamRules, ruleWireOf(rule))
+	}
+	return file.domain()
+}
+
+func routeWireOf(route *opsv1.Route) routeWire {
+	wire := routeWire{
+		Name:       route.GetName(),
+		Service:    route.GetService(),
+		Match:      matchWire{Host: route.GetMatch().GetHost(), PathPrefix: route.GetMatch().GetPathPrefix(), Methods: route.GetMatch().GetMethods()},
+		Idempotent: route.GetIdempotent(),
+		Hedge:      route.GetHedge(),
+	}
+	if route.GetImportance() != opsv1.Importance_IMPORTANCE_UNSPECIFIED {
+		wire.Importance = conf.Importance(route.GetImportance()).String()
+	}
+	if route.GetDeadline() != nil {
+		wire.Deadline = route.GetDeadline().AsDuration().String()
+	}
+	return wire
+}
+
+func ruleWireOf(rule *opsv1.UpstreamRule) ruleWire {
+	wire := ruleWire{
+		Name:        rule.GetName(),
+		Service:     rule.GetService(),
+		Zones:       rule.GetZones(),
+		Slots:       int(rule.GetSlots()),
+		Connections: int(rule.GetConnections()),
+		RequireEcho: rule.GetRequireEcho(),
+	}
+	if rule.GetWarmUp() != nil {
+		wire.WarmUp = rule.GetWarmUp().AsDuration().String()
+	}
+	if hours := rule.GetHours(); hours != nil {
+		wire.Hours = &hoursWire{TimeZone: hours.GetTimeZone()}
+		for _, span := range hours.GetSpans() {
+			wire.Hours.Spans = append(wire.Hours.Spans, spanWire{Days: span.GetDays(), From: span.GetFrom(), To: span.GetTo()})
+		}
+	}
+	return wire
+}
+
+// KeyFromProto decodes a resource key of an operator.
+func KeyFromProto(wire *opsv1.ResourceKey) (conf.Key, error) {
+	kind, ok := conf.ParseResourceKind(wire.GetKind())
+	if !ok {
+		return conf.Key{}, fault.New(fault.InvalidInput, "unknown resource kind %q", wire.GetKind())
+	}
+	return conf.Key{Kind: kind, Name: wire.GetName()}, nil
+}
+
+// EntryToProto encodes a time line entry.
+func EntryToProto(entry trace.Entry) *opsv1.TimelineEvent {
+	return &opsv1.TimelineEvent{
+		Time:      timestamppb.New(entry.Stamp.Wall),
+		Logical:   entry.Stamp.Logical,
+		Instance:  string(entry.Instance),
+		Kind:      entry.Event.Kind.String(),
+		RequestId: string(entry.Event.Request),
+		Version:   uint64(entry.Event.Version),
+		Subject:   string(entry.Event.Subject),
+		Detail:    entry.Event.Detail,
+	}
+}
+
+// EntryFromProto decodes a time line entry.
+func EntryFromProto(wire *opsv1.TimelineEvent) trace.Entry {
+	kind, _ := trace.ParseKind(wire.GetKind())
+	return trace.Entry{
+		Stamp:    trace.Stamp{Wall: wire.GetTime().AsTime(), Logical: wire.GetLogical()},
+		Instance: types.InstanceID(wire.GetInstance()),
+		Event: trace.Event{
+			Kind:    kind,
+			Request: types.RequestID(wire.GetRequestId()),
+			Version: types.Version(wire.GetVersion()),
+			Subject: types.InstanceID(wire.GetSubject()),
+			Detail:  wire.GetDetail(),
+		},
+	}
+}
+
+// FilterFromProto decodes the selection of a time line request.
+func FilterFromProto(wire *opsv1.TimelineRequest) trace.Filter {
+	var since time.Time
+	if wire.GetSince() != nil {
+		since = wire.GetSince().AsTime()
+	}
+	return trace.Filter{
+		Request: types.RequestID(wire.GetRequestId()),
+		Version: types.Version(wire.GetVersion()),
+		Subject: types.InstanceID(wire.GetInstance()),
+		Since:   since,
+		Limit:   int(wire.GetLimit()),
+	}
+}
--- /dev/null
+++ b/codec/peer.go
@@ -0,0 +1,151 @@
+package codec
+
+import (
+	"time"
+
+	"sequoiamill.example/sequoiamill/api/peerv1"
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/trace"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+const (
+	maxMembers    = 10_000
+	maxNameLength = 253
+)
+
+// MessageToProto encodes an exchange message.
+func MessageToProto(message fleet.Message, stamp trace.Stamp) *peerv1.Message {
+	wire := &peerv1.Message{
+		From:        string(message.From),
+		Incarnation: message.Incarnation,
+		Version:     uint64(message.Version),
+		Digest:      string(message.Digest),
+		View:        message.View,
+		Full:        message.Full,
+		Stamp:       &peerv1.Stamp{WallMicros: stamp.Wall.UnixMicro(), Logical: stamp.Logical},
+	}
+	for _, member := range message.Members {
+		wire.Members = append(wire.Members, memberToProto(member))
+	}
+	return wire
+}
+
+// MessageFromProto decodes and checks an exchange message.
+func MessageFromProto(wire *peerv1.Message) (fleet.Message, trace.Stamp, error) {
+	if wire.GetFrom() == "" || len(wire.GetFrom()) > maxNameLength {
+		return fleet.Message{}, trace.Stamp{}, fault.New(fault.InvalidInput, "peer message: the sender's name is missing or too long")
+	}
+	if len(wire.GetMembers()) > maxMembers {
+		return fleet.Message{}, trace.Stamp{}, fault.New(fault.InvalidInput, "peer message: more than %d members", maxMembers)
+	}
+	message := fleet.Message{
+		From:        types.InstanceID(wire.GetFrom()),
+		Incarnation: wire.GetIncarnation(),
+		Version:     types.Version(wire.GetVersion()),
+		Digest:      types.Hash(wire.GetDigest()),
+		View:        wire.GetView(),
+		Full:        wire.GetFull(),
+	}
+	for _, item := range wire.GetMembers() {
+		member, err := memberFromProto(item)
+		if err != nil {
+			return fleet.Message{}, trace.Stamp{}, err
+		}
+		message.Members = append(message.Members, member)
+	}
+	stamp := trace.Stamp{Wall: time.UnixMicro(wire.GetStamp().GetWallMicros()), Logical: wire.GetStamp().GetLogical()}
+	return message, stamp, nil
+}
+
+func memberToProto(member fleet.Member) *peerv1.Member {
+	wire := &peerv1.Member{
+		Instance:    string(member.ID),
+		Incarnation: member.Incarnation,
+		State:       peerv1.MemberState(member.Status),
+		Address:     string(member.Address),
+		Zone:        string(member.Zone),
+		Region:      string(member.Region),
+		Service:     string(member.Service),
+		Held:        uint64(member.Held),
+		Leaving:     member.Leaving,
+	}
+	if upstream, ok := member.Upstream.Get(); ok {
+		wire.Upstream = &peerv1.Upstream{
+			Slots:         uint32(upstream.Slots),
+			Connections:   uint32(upstream.Connections),
+			WarmUpMillis:  upstream.WarmUp.Milliseconds(),
+			ReadyAtMillis: upstream.ReadyAt.UnixMilli(),
+			Leaving:       upstream.Leaving,
+		}
+	}
+	return wire
+}
+
+func memberFromProto(wire *peerv1.Member) (fleet.Member, error) {
+	status := fleet.Status(wire.GetState())
+	if status < fleet.Alive || status > fleet.Left {
+		return fleet.Member{}, fault.New(fault.InvalidInput, "peer message: member %q has the unknown state %d", wire.GetInstance(), wire.GetState())
+	}
+	if wire.GetInstance() == "" || len(wire.GetInstance()) > maxNameLength {
+		return fleet.Member{}, fault.New(fault.InvalidInput, "peer message: a member's name is missing or too long")
+	}
+	member := fleet.Member{
+		ID:          types.InstanceID(wire.GetInstance()),
+		Incarnation: wire.GetIncarnation(),
+		Status:      status,
+		Address:     types.Address(wire.GetAddress()),
+		Zone:        types.Zone(wire.GetZone()),
+		Region:      types.Region(wire.GetRegion()),
+		Service:     types.ServiceName(wire.GetService()),
+		Held:        types.Version(wire.GetHeld()),
+		Leaving:     wire.GetLeaving(),
+	}
+	if upstream := wire.GetUpstream(); upstream != nil {
+		member.Upstream = types.Some(fleet.Upstream{
+			Slots:       int(upstream.GetSlots()),
+			Connections: int(upstream.GetConnections()),
+			WarmUp:      time.Duration(upstream.GetWarmUpMillis()) * time.Millisecond,
+			ReadyAt:     time.UnixMilli(upstream.GetReadyAtMillis()),
+			Leaving:     upstream.GetLeaving(),
+		})
+	}
+	return member, nil
+}
+
+// BundleToProto encodes a bundle, leaving out the bodies that the asker holds.
+func BundleToProto(bundle conf.Bundle, held types.Set[types.Hash]) *peerv1.PullResponse {
+	wire := &peerv1.PullResponse{Root: bundle.RootBody, Bodies: map[string][]byte{}}
+	for hash, body := range bundle.Bodies {
+		if !held.Has(hash) {
+			wire.Bodies[string(hash)] = body
+		}
+	}
+	return wire
+}
+
+// BundleFromProto decodes a bundle and adds the bodies that are held already.
+func BundleFromProto(wire *peerv1.PullResponse, held conf.Bundle) conf.Bundle {
+	bundle := conf.Bundle{RootBody: wire.GetRoot(), Bodies: map[types.Hash][]byte{}}
+	for hash, body := range wire.GetBodies() {
+		bundle.Bodies[types.Hash(hash)] = body
+	}
+	return FillBundle(bundle, held)
+}
+
+// FillBundle adds the bodies that the root names and another bundle holds.
+func FillBundle(bundle, held conf.Bundle) conf.Bundle {
+	root, err := ReadRoot(bundle.RootBody)
+	if err != nil {
+		return bundle
+	}
+	for _, entry := range root.Entries {
+		body, ok := held.Bodies[entry.Hash]
+		if _, present := bundle.Bodies[entry.Hash]; ok && !present {
+			bundle.Bodies[entry.Hash] = body
+		}
+	}
+	return bundle
+}
--- /dev/null
+++ b/codec/wire.go
@@ -0,0 +1,162 @@
+// Package codec maps domain values to and from their wire forms by hand: the
+// configuration file, the stored resource bodies and the RPC messages.
+//
+// # Usage
+//
+//	config, err := codec.ReadFile("board.yaml", text)
+//	bundle, err := codec.Seal(root, config)
+//	snap, err := codec.Open(bundle)
+package codec
+
+import (
+	"time"
+
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+type fileWire struct {
+	Services      []serviceWire `json:"services,omitempty" yaml:"services,omitempty"`
+	Routes        []routeWire   `json:"routes,omitempty" yaml:"routes,omitempty"`
+	UpstreamRules []ruleWire    `json:"upstream-rules,omitempty" yaml:"upstream-rules,omitempty"`
+}
+
+type serviceWire struct {
+	Name string `json:"name" yaml:"name"`
+}
+
+type matchWire struct {
+	Host       string   `json:"host,omitempty" yaml:"host,omitempty"`
+	PathPrefix string   `json:"path-prefix,omitempty" yaml:"path-prefix,omitempty"`
+	Methods    []string `json:"methods,omitempty" yaml:"methods,omitempty"`
+}
+
+type routeWire struct {
+	Name       string    `json:"name" yaml:"name"`
+	Service    string    `json:"service" yaml:"service"`
+	Match      matchWire `json:"match" yaml:"match"`
+	Idempotent bool      `json:"idempotent,omitempty" yaml:"idempotent,omitempty"`
+	Importance string    `json:"importance" yaml:"importance"`
+	Deadline   string    `json:"deadline" yaml:"deadline"`
+	Hedge      bool      `json:"hedge,omitempty" yaml:"hedge,omitempty"`
+}
+
+type ruleWire struct {
+	Name        string     `json:"name" yaml:"name"`
+	Service     string     `json:"service" yaml:"service"`
+	Zones       []string   `json:"zones,omitempty" yaml:"zones,omitempty"`
+	Hours       *hoursWire `json:"hours,omitempty" yaml:"hours,omitempty"`
+	Slots       int        `json:"slots,omitempty" yaml:"slots,omitempty"`
+	Connections int        `json:"connections,omitempty" yaml:"connections,omitempty"`
+	WarmUp      string     `json:"warm-up,omitempty" yaml:"warm-up,omitempty"`
+	RequireEcho bool       `json:"require-echo,omitempty" yaml:"require-echo,omitempty"`
+}
+
+type hoursWire struct {
+	TimeZone string     `json:"time-zone" yaml:"time-zone"`
+	Spans    []spanWire `json:"spans" yaml:"spans"`
+}
+
+type spanWire struct {
+	Days []string `json:"days,omitempty" yaml:"days,omitempty"`
+	From string   `json:"from" yaml:"from"`
+	To   string   `json:"to" yaml:"to"`
+}
+
+const (
+	defaultDeadline   = 10 * time.Second
+	defaultImportance = conf.Normal
+)
+
+func (w routeWire) domain() (conf.Route, error) {
+	deadline, err := parseDuration(w.Deadline, defaultDeadline)
+	if err != nil {
+		return conf.Route{}, fault.New(fault.ConfigRefused, "route %q: deadline: %v", w.Name, err)
+	}
+	importance := defaultImportance
+	if w.Importance != "" {
+		known, ok := conf.ParseImportance(w.Importance)
+		if !ok {
+			return conf.Route{}, fault.New(fault.ConfigRefused, "route %q: importance %q is not low, normal, high or critical", w.Name, w.Importance)
+		}
+		importance = known
+	}
+	return conf.Route{
+		Name:       types.RouteName(w.Name),
+		Service:    types.ServiceName(w.Service),
+		Match:      conf.Match{Host: w.Match.Host, PathPrefix: w.Match.PathPrefix, Methods: types.NewSet(w.Match.Methods...)},
+		Idempotent: w.Idempotent,
+		Importance: importance,
+		Deadline:   deadline,
+		Hedge:      w.Hedge,
+	}, nil
+}
+
+func routeToWire(route conf.Route) routeWire {
+	return routeWire{
+		Name:       string(route.Name),
+		Service:    string(route.Service),
+		Match:      matchWire{Host: route.Match.Host, PathPrefix: route.Match.PathPrefix, Methods: route.Match.Methods.Sorted()},
+		Idempotent: route.Idempotent,
+		Importance: route.Importance.String(),
+		Deadline:   route.Deadline.String(),
+		Hedge:      route.Hedge,
+	}
+}
+
+func (w ruleWire) domain() (conf.UpstreamRule, error) {
+	warmUp, err := parseDuration(w.WarmUp, 0)
+	if err != nil {
+		return conf.UpstreamRule{}, fault.New(fault.ConfigRefused, "upstream-rule %q: warm-up: %v", w.Name, err)
+	}
+	rule := conf.UpstreamRule{
+		Name:        types.RuleName(w.Name),
+		Service:     types.ServiceName(w.Service),
+		Slots:       w.Slots,
+		Connections: w.Connections,
+		WarmUp:      warmUp,
+		RequireEcho: w.RequireEcho,
+	}
+	zones := make([]types.Zone, 0, len(w.Zones))
+	for _, zone := range w.Zones {
+		zones = append(zones, types.Zone(zone))
+	}
+	rule.Zones = types.NewSet(zones...)
+	if w.Hours == nil {
+		return rule, nil
+	}
+	hours, err := w.Hours.domain()
+	if err != nil {
+		return conf.UpstreamRule{}, fault.New(fault.ConfigRefused, "upstream-rule %q: %v", w.Name, err)
+	}
+	rule.Hours = types.Some(hours)
+	return rule, nil
+}
+
+func ruleToWire(rule conf.UpstreamRule) ruleWire {
+	wire := ruleWire{
+		Name:        string(rule.Name),
+		Service:     string(rule.Service),
+		Slots:       rule.Slots,
+		Connections: rule.Connections,
+		RequireEcho: rule.RequireEcho,
+	}
+	if rule.WarmUp > 0 {
+		wire.WarmUp = rule.WarmUp.String()
+	}
+	for _, zone := range rule.Zones.Sorted() {
+		wire.Zones = append(wire.Zones, string(zone))
+	}
+	if hours, ok := rule.Hours.Get(); ok {
+		wire.Hours = hoursToWire(hours)
+	}
+	return wire
+}
+
+func parseDuration(text string, fallback time.Duration) (time.Duration, error) {
+	if text == "" {
+		return fallback, nil
+	}
+	return time.ParseDuration(text)
+}
--- /dev/null
+++ b/conf/merge.go
@@ -0,0 +1,48 @@
+package conf
+
+import (
+	"slices"
+
+	"sequoiamill.example/sequoiamill/types"
+)
+
+// maxRecent bounds the accepted changes that a root remembers.
+const maxRecent = 64
+
+// Next returns the root of the following version, without entries.
+func (r Root) Next(change types.ChangeID) Root {
+	version := r.Version + 1
+	recent := append(slices.Clone(r.Recent), Accepted{Change: change, Version: version})
+	if len(recent) > maxRecent {
+		recent = recent[len(recent)-maxRecent:]
+	}
+	return Root{Version: version, Change: change, Recent: recent}
+}
+
+// Merge returns the configuration with the given resources put and the named
+// ones removed.
+func (c Config) Merge(put Config, remove []Key) Config {
+	removed := map[Key]bool{}
+	for _, key := range remove {
+		removed[key] = true
+	}
+	return Config{
+		Services: merge(c.Services, put.Services, removed, func(s Service) Key { return Key{ServiceKind, string(s.Name)} }),
+		Routes:   merge(c.Routes, put.Routes, removed, func(r Route) Key { return Key{RouteKind, string(r.Name)} }),
+		Rules:    merge(c.Rules, put.Rules, removed, func(r UpstreamRule) Key { return Key{UpstreamRuleKind, string(r.Name)} }),
+	}
+}
+
+func merge[T any](old, put []T, removed map[Key]bool, key func(T) Key) []T {
+	var merged []T
+	replaced := map[Key]bool{}
+	for _, item := range put {
+		replaced[key(item)] = true
+	}
+	for _, item := range old {
+		if !removed[key(item)] && !replaced[key(item)] {
+			merged = append(merged, item)
+		}
+	}
+	return append(merged, put...)
+}
--- /dev/null
+++ b/conf/resource.go
@@ -0,0 +1,83 @@
+package conf
+
+import (
+	"sequoiamill.example/sequoiamill/types"
+)
+
+// ResourceKind is the kind of a configuration resource.
+type ResourceKind int
+
+// The kinds of resources.
+const (
+	ServiceKind ResourceKind = iota + 1
+	RouteKind
+	UpstreamRuleKind
+)
+
+// String returns the kebab-case name of the kind.
+func (k ResourceKind) String() string {
+	switch k {
+	case ServiceKind:
+		return "service"
+	case RouteKind:
+		return "route"
+	case UpstreamRuleKind:
+		return "upstream-rule"
+	default:
+		return "unknown-resource"
+	}
+}
+
+// ParseResourceKind returns the kind with the given name.
+func ParseResourceKind(name string) (ResourceKind, bool) {
+	for _, kind := range []ResourceKind{ServiceKind, RouteKind, UpstreamRuleKind} {
+		if kind.String() == name {
+			return kind, true
+		}
+	}
+	return 0, false
+}
+
+// Key names one resource.
+type Key struct {
+	Kind ResourceKind
+	Name string
+}
+
+// Entry is one line of a root: a resource and the hash of its body.
+type Entry struct {
+	Key  Key
+	Hash types.Hash
+}
+
+// Accepted records the change that made a version.
+type Accepted struct {
+	Change  types.ChangeID
+	Version types.Version
+}
+
+// Root is the platform's commit point: a version and its resources.
+type Root struct {
+	Version types.Version
+	Change  types.ChangeID
+	Entries []Entry
+	// Recent lists the latest accepted changes, newest last.
+	Recent []Accepted
+}
+
+// ByChange returns the version that a recent change made.
+func (r Root) ByChange(id types.ChangeID) (types.Version, bool) {
+	for _, accepted := range r.Recent {
+		if accepted.Change == id {
+			return accepted.Version, true
+		}
+	}
+	return 0, false
+}
+
+// Config is a set of resources that is not yet a version.
+type Config struct {
+	Services []Service
+	Routes   []Route
+	Rules    []UpstreamRule
+}
--- /dev/null
+++ b/core/owner.go
@@ -0,0 +1,95 @@
+package core
+
+import (
+	"time"
+
+	"sequoiamill.example/sequoiamill/admit"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/trace"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+// announcementExpiry is how long an announcement holds without a renewal.
+const announcementExpiry = 10 * time.Second
+
+// local is what the node knows of its own upstream.
+type local struct {
+	announcement Announcement
+	known        bool
+	renewed      time.Time
+	readyAt      time.Time
+}
+
+func (st *State) announced(announcement Announcement, now time.Time) []types.Effect {
+	if !st.upstream.known || st.upstream.announcement.Service != announcement.Service {
+		st.upstream.readyAt = now
+	}
+	st.upstream.known = true
+	st.upstream.renewed = now
+	changed := st.upstream.announcement != announcement
+	st.upstream.announcement = announcement
+	effects := st.refreshUpstream(now)
+	if !changed {
+		return effects
+	}
+	kind := trace.UpstreamAnnounced
+	if announcement.Leaving {
+		kind = trace.UpstreamLeft
+	}
+	event := trace.Event{Kind: kind, Subject: st.fleet.Self().ID, Detail: string(announcement.Service)}
+	return append(effects, event)
+}
+
+// refreshUpstream brings the slots and the node's record up to date.
+func (st *State) refreshUpstream(now time.Time) []types.Effect {
+	if st.upstream.known && now.Sub(st.upstream.renewed) > announcementExpiry {
+		st.upstream = local{}
+		st.fleet.SetUpstream("", types.None[fleet.Upstream]())
+		event := trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: "announcement expired"}
+		return append(st.gate.Clear(fault.New(fault.NoUpstream, "the upstream is gone")), event)
+	}
+	if !st.upstream.known {
+		return nil
+	}
+	announcement := st.upstream.announcement
+	rule, _ := st.conf.Current().Rule(announcement.Service, st.fleet.Self().Zone)
+	effects := st.gate.SetSlots(capped(announcement.Slots, rule.Slots))
+	next := types.Some(fleet.Upstream{
+		Slots:       announcement.Slots,
+		Connections: announcement.Connections,
+		WarmUp:      announcement.WarmUp,
+		ReadyAt:     st.upstream.readyAt,
+		Leaving:     announcement.Leaving,
+	})
+	if self := st.fleet.Self(); self.Service != announcement.Service || self.Upstream != next {
+		st.fleet.SetUpstream(announcement.Service, next)
+	}
+	return effects
+}
+
+func (st *State) workArrived(work admit.Work, now time.Time) []types.Effect {
+	if err := st.ownerFault(work, now); err != nil {
+		return []types.Effect{
+			trace.Count{Counter: trace.WorkShed},
+			trace.Event{Kind: trace.WorkRefused, Request: work.Request, Detail: err.Error()},
+			admit.Refuse{Work: work, Err: err},
+		}
+	}
+	return st.gate.Arrive(work, now)
+}
+
+func (st *State) ownerFault(work admit.Work, now time.Time) *fault.Error {
+	switch {
+	case st.stopping:
+		return fault.New(fault.Stopping, "the upstream's node is stopping").WithRetryAfter(comeBackSoon)
+	case !st.upstream.known || st.upstream.announcement.Service != work.Service:
+		return fault.New(fault.NoUpstream, "the node owns no upstream of service %q", work.Service).WithRetryAfter(comeBackSoon)
+	case st.upstream.announcement.Leaving:
+		return fault.New(fault.Closed, "the upstream is leaving").WithRetryAfter(comeBackSoon)
+	case !st.open(st.fleet.Self(), now):
+		return fault.New(fault.Closed, "the upstream is closed at this hour").WithRetryAfter(comeBackSoon)
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/fakes/upstream.go
@@ -0,0 +1,100 @@
+package fakes
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Upstream is a stand-in for a service's upstream.
+type Upstream struct {
+	Name string
+	// Work is how long each request runs.
+	Work time.Duration
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// ServeHTTP runs one request: it counts the run by idempotency key and echoes
+// the request identifier and the body.
+func (up *Upstream) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == "/runs" {
+		writeJSON(writer, up.Runs())
+		return
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	up.count(request.Header.Get("Idempotency-Key"))
+	time.Sleep(up.Work)
+	writer.Header().Set("Sequoiamill-Request-Id", request.Header.Get("Sequoiamill-Request-Id"))
+	writer.Header().Set("Upstream", up.Name)
+	_, _ = fmt.Fprintf(writer, "%s %s from %s: %s", request.Method, request.URL.Path, up.Name, body)
+}
+
+func (up *Upstream) count(key string) {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	if up.runs == nil {
+		up.runs = map[string]int{}
+	}
+	up.runs[key]++
+}
+
+// Runs returns how often each idempotency key ran.
+func (up *Upstream) Runs() map[string]int {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	runs := make(map[string]int, len(up.runs))
+	for key, count := range up.runs {
+		runs[key] = count
+	}
+	return runs
+}
+
+// Announcement is what an upstream posts to its node.
+type Announcement struct {
+	Service      string `json:"service"`
+	Address      string `json:"address"`
+	Slots        int    `json:"slots"`
+	Connections  int    `json:"connections"`
+	WarmUpMillis int64  `json:"warm-up-millis"`
+	Leaving      bool   `json:"leaving"`
+}
+
+// Announce tells a node about an upstream until the context ends.
+func Announce(ctx context.Context, admin string, announcement Announcement, interval time.Duration) {
+	for ctx.Err() == nil {
+		_ = PostAnnouncement(ctx, admin, announcement)
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
+	}
+}
+
+// PostAnnouncement tells a node about an upstream once.
+func PostAnnouncement(ctx context.Context, admin string, announcement Announcement) error {
+	body, err := json.Marshal(announcement)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+admin+"/announce", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
--- /dev/null
+++ b/fault/kind.go
@@ -0,0 +1,85 @@
+// Package fault holds the closed list of error kinds and the table from each
+// kind to the answers that callers and operators get.
+//
+// # Usage
+//
+//	err := fault.New(fault.Overloaded, "queue of %d is full", 20).WithRetryAfter(time.Second)
+//	answer := fault.AnswerOf(err.Kind)
+//	w.WriteHeader(answer.HTTPStatus)
+package fault
+
+// Kind classifies an error.
+type Kind int
+
+// The kinds of errors.
+const (
+	Internal Kind = iota
+	InvalidInput
+	NotFound
+	TooLarge
+	NoRoute
+	NoUpstream
+	Overloaded
+	Closed
+	Stopping
+	NotReady
+	DeadlineExceeded
+	Canceled
+	OutcomeUnknown
+	BrokenAnswer
+	Unreachable
+	VersionConflict
+	ConfigRefused
+	PlatformUnavailable
+	KeyReused
+	kindCount
+)
+
+var kindNames = [kindCount]string{
+	Internal:            "internal",
+	InvalidInput:        "invalid-input",
+	NotFound:            "not-found",
+	TooLarge:            "too-large",
+	NoRoute:             "no-route",
+	NoUpstream:          "no-upstream",
+	Overloaded:          "overloaded",
+	Closed:              "closed",
+	Stopping:            "stopping",
+	NotReady:            "not-ready",
+	DeadlineExceeded:    "deadline-exceeded",
+	Canceled:            "canceled",
+	OutcomeUnknown:      "outcome-unknown",
+	BrokenAnswer:        "broken-answer",
+	Unreachable:         "unreachable",
+	VersionConflict:     "version-conflict",
+	ConfigRefused:       "config-refused",
+	PlatformUnavailable: "platform-unavailable",
+	KeyReused:           "key-reused",
+}
+
+// String returns the kebab-case name of the kind.
+func (k Kind) String() string {
+	if k < 0 || k >= kindCount {
+		return "unknown-kind"
+	}
+	return kindNames[k]
+}
+
+// Kinds returns every kind.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, kindCount)
+	for kind := Kind(0); kind < kindCount; kind++ {
+		kinds = append(kinds, kind)
+	}
+	return kinds
+}
+
+// ParseKind returns the kind with the given name, or Internal and false.
+func ParseKind(name string) (Kind, bool) {
+	for kind, known := range kindNames {
+		if known == name {
+			return Kind(kind), true
+		}
+	}
+	return Internal, false
+}
--- /dev/null
+++ b/fault/table.go
@@ -0,0 +1,86 @@
+package fault
+
+// Outcome states whether the request of an error ran at an upstream.
+type Outcome int
+
+// The outcomes of a request.
+const (
+	NotRun Outcome = iota
+	Ran
+	Unknown
+)
+
+// String returns the kebab-case name of the outcome.
+func (o Outcome) String() string {
+	switch o {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// RPCCode is a status code of the RPC protocol, with the numbers that gRPC
+// publishes.
+type RPCCode uint32
+
+const (
+	codeCanceled           RPCCode = 1
+	codeUnknown            RPCCode = 2
+	codeInvalidArgument    RPCCode = 3
+	codeDeadlineExceeded   RPCCode = 4
+	codeNotFound           RPCCode = 5
+	codeAlreadyExists      RPCCode = 6
+	codeResourceExhausted  RPCCode = 8
+	codeFailedPrecondition RPCCode = 9
+	codeAborted            RPCCode = 10
+	codeInternal           RPCCode = 13
+	codeUnavailable        RPCCode = 14
+	codeDataLoss           RPCCode = 15
+)
+
+// Answer is what the requester is told about an error kind.
+type Answer struct {
+	HTTPStatus int
+	RPCCode    RPCCode
+	Outcome    Outcome
+	// ComeBack states that the same request may succeed later.
+	ComeBack bool
+	// ExitCode is the exit code of the command line.
+	ExitCode int
+}
+
+// StatusClientClosed is the HTTP status of a request that its caller canceled.
+const StatusClientClosed = 499
+
+var answers = [kindCount]Answer{
+	Internal:            {500, codeInternal, Unknown, false, 70},
+	InvalidInput:        {400, codeInvalidArgument, NotRun, false, 2},
+	NotFound:            {404, codeNotFound, NotRun, false, 3},
+	TooLarge:            {413, codeInvalidArgument, NotRun, false, 4},
+	NoRoute:             {404, codeNotFound, NotRun, false, 5},
+	NoUpstream:          {503, codeUnavailable, NotRun, true, 6},
+	Overloaded:          {503, codeResourceExhausted, NotRun, true, 7},
+	Closed:              {503, codeUnavailable, NotRun, true, 8},
+	Stopping:            {503, codeUnavailable, NotRun, true, 9},
+	NotReady:            {503, codeUnavailable, NotRun, true, 10},
+	DeadlineExceeded:    {504, codeDeadlineExceeded, NotRun, true, 11},
+	Canceled:            {StatusClientClosed, codeCanceled, Unknown, false, 12},
+	OutcomeUnknown:      {504, codeUnknown, Unknown, false, 13},
+	BrokenAnswer:        {502, codeDataLoss, Unknown, false, 14},
+	Unreachable:         {502, codeUnavailable, NotRun, true, 15},
+	VersionConflict:     {409, codeAborted, NotRun, true, 16},
+	ConfigRefused:       {422, codeFailedPrecondition, NotRun, false, 17},
+	PlatformUnavailable: {503, codeUnavailable, NotRun, true, 18},
+	KeyReused:           {409, codeAlreadyExists, NotRun, false, 19},
+}
+
+// AnswerOf returns the answer for a kind.
+func AnswerOf(kind Kind) Answer {
+	if kind < 0 || kind >= kindCount {
+		return answers[Internal]
+	}
+	return answers[kind]
+}
--- /dev/null
+++ b/fleet/delegate.go
@@ -0,0 +1,48 @@
+package fleet
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// delegatesPerZone is the number of nodes of a zone that watch the platform.
+const delegatesPerZone = 2
+
+// IsDelegate reports whether this node watches the platform for its zone: it
+// is among the highest rendezvous ranks of the zone's live nodes.
+func (tb *Table) IsDelegate() bool {
+	if tb.self.Leaving || tb.self.Status != Alive {
+		return false
+	}
+	higher := 0
+	own := rank(tb.self)
+	for _, member := range tb.members {
+		if member.Status == Alive && !member.Leaving && member.Zone == tb.self.Zone && rank(member) > own {
+			higher++
+		}
+	}
+	return higher < delegatesPerZone
+}
+
+func rank(member Member) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte("delegate|" + string(member.Zone) + "|" + string(member.ID)))
+	return hash.Sum64()
+}
+
+// Owners returns the live members that own an upstream of a service, ordered
+// by instance.
+func (tb *Table) Owners(match func(Member) bool) []Member {
+	var owners []Member
+	for _, member := range tb.members {
+		if member.TakesWork() && match(member) {
+			owners = append(owners, member)
+		}
+	}
+	if tb.self.TakesWork() && match(tb.self) {
+		owners = append(owners, tb.self)
+	}
+	slices.SortFunc(owners, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return owners
+}
--- /dev/null
+++ b/node/effect.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sequoiamill.example/sequoiamill/core"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/trace"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+const (
+	exchangeTimeout = 500 * time.Millisecond
+	pullTimeout     = 5 * time.Second
+)
+
+// run carries out one effect without blocking.
+func (nd *Node) run(effect types.Effect) {
+	if nd.entry.Run(effect) || nd.owner.Run(effect) {
+		return
+	}
+	switch ef := effect.(type) {
+	case trace.Count:
+		nd.meters.count(ef.Counter)
+	case trace.Event:
+		nd.event(ef)
+	case types.SetTimer:
+		nd.setTimer(ef)
+	case fleet.SendExchange:
+		go nd.exchange(ef)
+	case fleet.ReplyExchange:
+		nd.waiters.answer(ef.Token, ef.Message)
+	case fleet.PullConfig:
+		go nd.pull(ef)
+	case core.WatchPlatform:
+		nd.watch.set(nd, ef.On)
+	case core.Drained:
+		close(nd.drained)
+	}
+}
+
+// event keeps an event and logs it if it changes the node's state.
+func (nd *Node) event(event trace.Event) {
+	entry := trace.Entry{Stamp: nd.clock.Now(nd.now()), Instance: nd.settings.Instance, Event: event}
+	nd.ring.Add(entry)
+	if event.Kind.ChangesState() {
+		_ = nd.logger.Log("event", event.Kind, "version", event.Version, "subject", event.Subject, "detail", event.Detail)
+	}
+}
+
+func (nd *Node) setTimer(effect types.SetTimer) {
+	time.AfterFunc(effect.At.Sub(nd.now()), func() { nd.loop.post(types.TimerFired{Timer: effect.Timer}) })
+}
+
+func (nd *Node) exchange(effect fleet.SendExchange) {
+	ctx, cancel := context.WithTimeout(nd.life, exchangeTimeout)
+	defer cancel()
+	nd.meters.count(trace.ExchangesSent)
+	answer, err := nd.peers.Exchange(ctx, effect.Address, effect.Message)
+	if err != nil {
+		nd.meters.count(trace.ExchangesFailed)
+		nd.loop.post(fleet.ExchangeFailed{Peer: effect.Peer, Address: effect.Address})
+		return
+	}
+	nd.loop.post(fleet.ExchangeAnswered{Peer: effect.Peer, Address: effect.Address, Message: answer})
+}
+
+// pull fetches a configuration from a peer, one at a time.
+func (nd *Node) pull(effect fleet.PullConfig) {
+	nd.pulling.Lock()
+	defer nd.pulling.Unlock()
+	if nd.view().Version >= effect.Version {
+		return
+	}
+	ctx, cancel := context.WithTimeout(nd.life, pullTimeout)
+	defer cancel()
+	nd.meters.count(trace.ConfigPulls)
+	bundle, err := nd.peers.Pull(ctx, effect.Address, nd.bundle())
+	if err != nil {
+		return
+	}
+	nd.offer(bundle, effect.Version)
+}
+
+// waiters matches the reducer's answers to the peers that wait for them.
+type waiters struct {
+	mu   sync.Mutex
+	next uint64
+	open map[uint64]chan fleet.Message
+}
+
+func (wt *waiters) add() (uint64, chan fleet.Message) {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	if wt.open == nil {
+		wt.open = map[uint64]chan fleet.Message{}
+	}
+	wt.next++
+	answer := make(chan fleet.Message, 1)
+	wt.open[wt.next] = answer
+	return wt.next, answer
+}
+
+func (wt *waiters) answer(token uint64, message fleet.Message) {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	if answer, ok := wt.open[token]; ok {
+		answer <- message
+		delete(wt.open, token)
+	}
+}
+
+// serveExchange answers a peer's membership message.
+func (nd *Node) serveExchange(_ context.Context, message fleet.Message) (fleet.Message, error) {
+	token, answer := nd.waiters.add()
+	nd.loop.post(fleet.ExchangeReceived{Token: token, Message: message})
+	select {
+	case reply := <-answer:
+		return reply, nil
+	default:
+		return fleet.Message{}, fault.New(fault.NotReady, "the node does not take part in the fleet")
+	}
+}
+
+func (nd *Node) probe(ctx context.Context, _ types.InstanceID, address types.Address) bool {
+	var message fleet.Message
+	nd.loop.read(func(state *core.State) {
+		message = fleet.Message{From: nd.settings.Instance, View: 0, Version: state.Conf().Current().Version()}
+	})
+	_, err := nd.peers.Exchange(ctx, address, message)
+	return err == nil
+}
--- /dev/null
+++ b/node/handler.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/labstack/echo/v4"
+
+	"sequoiamill.example/sequoiamill/admin"
+	"sequoiamill.example/sequoiamill/api/opsv1"
+	"sequoiamill.example/sequoiamill/api/opsv1/opsv1connect"
+	"sequoiamill.example/sequoiamill/codec"
+	"sequoiamill.example/sequoiamill/core"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/peer"
+	"sequoiamill.example/sequoiamill/proxy"
+	"sequoiamill.example/sequoiamill/trace"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+func (nd *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(proxy.ForwardPath, nd.owner)
+	mux.Handle(peer.NewHandler(peer.Service{
+		Clock:    nd.clock,
+		Now:      nd.now,
+		Exchange: nd.serveExchange,
+		Pull:     nd.bundle,
+		Probe:    nd.probe,
+	}))
+	mux.Handle(nd.operatorHandler())
+	return mux
+}
+
+func (nd *Node) operatorHandler() (string, http.Handler) {
+	return admin.NewHandler(admin.Service{
+		Publisher: admin.NewPublisher(nd.store),
+		View:      nd.view,
+		Published: nd.published,
+		Timeline:  nd.ring.Select,
+		Collect:   nd.collect,
+	})
+}
+
+// published reads the root at once, so that the news spreads from here too.
+func (nd *Node) published(version types.Version) {
+	nd.event(trace.Event{Kind: trace.ConfigPublished, Version: version, Subject: nd.settings.Instance})
+	go func() {
+		ctx, cancel := context.WithTimeout(nd.life, platformTimeout)
+		defer cancel()
+		nd.readRoot(ctx)
+	}()
+}
+
+func (nd *Node) collect(ctx context.Context, address types.Address, request *opsv1.TimelineRequest) ([]trace.Entry, error) {
+	client := opsv1connect.NewOperatorClient(http.DefaultClient, "http://"+string(address))
+	response, err := client.Timeline(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, codec.FaultFromRPC(err)
+	}
+	var entries []trace.Entry
+	for _, event := range response.Msg.GetEvents() {
+		entries = append(entries, codec.EntryFromProto(event))
+	}
+	return entries, nil
+}
+
+func (nd *Node) adminHandler() http.Handler {
+	router := echo.New()
+	router.HideBanner = true
+	path, handler := nd.operatorHandler()
+	router.Any(path+"*", echo.WrapHandler(handler))
+	router.GET("/healthz", func(ctx echo.Context) error { return ctx.String(http.StatusOK, "ok\n") })
+	router.GET("/readyz", nd.serveReady)
+	router.GET("/metrics", nd.serveMetrics)
+	router.POST("/announce", nd.serveAnnounce)
+	return router
+}
+
+func (nd *Node) serveReady(ctx echo.Context) error {
+	ready := false
+	nd.loop.read(func(state *core.State) { ready = state.Ready() })
+	if !ready {
+		return ctx.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return ctx.String(http.StatusOK, "ready\n")
+}
+
+func (nd *Node) serveMetrics(ctx echo.Context) error {
+	ctx.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
+	nd.meters.write(ctx.Response())
+	return nil
+}
+
+// AnnouncementWire is what an upstream posts to its node.
+type AnnouncementWire struct {
+	Service      string `json:"service"`
+	Address      string `json:"address"`
+	Slots        int    `json:"slots"`
+	Connections  int    `json:"connections"`
+	WarmUpMillis int64  `json:"warm-up-millis"`
+	Leaving      bool   `json:"leaving"`
+}
+
+func (nd *Node) serveAnnounce(ctx echo.Context) error {
+	var wire AnnouncementWire
+	if err := ctx.Bind(&wire); err != nil {
+		return answerFault(ctx, fault.Wrap(fault.InvalidInput, err, "decode announcement"))
+	}
+	if err := wire.validate(); err != nil {
+		return answerFault(ctx, fault.From(err))
+	}
+	nd.owner.SetUpstream(types.Address(wire.Address), wire.Connections)
+	nd.loop.post(core.UpstreamAnnounced{Announcement: core.Announcement{
+		Service:     types.ServiceName(wire.Service),
+		Slots:       wire.Slots,
+		Connections: wire.Connections,
+		WarmUp:      time.Duration(wire.WarmUpMillis) * time.Millisecond,
+		Leaving:     wire.Leaving,
+	}})
+	return ctx.NoContent(http.StatusNoContent)
+}
+
+func (w AnnouncementWire) validate() error {
+	if w.Service == "" {
+		return fault.New(fault.InvalidInput, "announcement: the service is missing")
+	}
+	if w.Slots <= 0 || w.Connections <= 0 {
+		return fault.New(fault.InvalidInput, "announcement: slots and connections must be above 0")
+	}
+	if faults := addressFaults("address", types.Address(w.Address)); len(faults) > 0 {
+		return fault.New(fault.InvalidInput, "announcement: %s", faults[0])
+	}
+	return nil
+}
+
+func answerFault(ctx echo.Context, err *fault.Error) error {
+	return ctx.JSON(fault.AnswerOf(err.Kind).HTTPStatus, map[string]string{"kind": err.Kind.String(), "message": err.Message})
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,234 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"sequoiamill.example/sequoiamill/admin"
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/core"
+	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/peer"
+	"sequoiamill.example/sequoiamill/plat"
+	"sequoiamill.example/sequoiamill/proxy"
+	"sequoiamill.example/sequoiamill/route"
+	"sequoiamill.example/sequoiamill/trace"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+const (
+	tickInterval     = 100 * time.Millisecond
+	timelineSize     = 4096
+	readHeaderLimit  = 10 * time.Second
+	callerIdleLimit  = 2 * time.Minute
+	shutdownInterval = 2 * time.Second
+)
+
+// Node is one process of the mesh.
+type Node struct {
+	settings Settings
+	store    *plat.Store
+	logger   log.Logger
+	now      func() time.Time
+	options  []core.Option
+
+	clock   *trace.Clock
+	ring    *trace.Ring
+	meters  *meters
+	loop    *loop
+	owner   *proxy.Owner
+	entry   *proxy.Entry
+	peers   *peer.Client
+	waiters waiters
+	drained chan struct{}
+	life    context.Context
+	watch   watcher
+	pulling sync.Mutex
+
+	callerListener net.Listener
+	peerListener   net.Listener
+	adminListener  net.Listener
+}
+
+// Option changes a setting of a node.
+type Option func(*Node)
+
+// WithLogger sets where log lines go.
+func WithLogger(logger log.Logger) Option {
+	return func(nd *Node) { nd.logger = logger }
+}
+
+// WithCore sets options of the reducer.
+func WithCore(opts ...core.Option) Option {
+	return func(nd *Node) { nd.options = append(nd.options, opts...) }
+}
+
+// New returns a node that listens but does not serve yet.
+func New(settings Settings, store *plat.Store, opts ...Option) (*Node, error) {
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	nd := &Node{
+		settings: settings,
+		store:    store,
+		logger:   log.NewNopLogger(),
+		now:      time.Now,
+		clock:    trace.NewClock(),
+		ring:     trace.NewRing(timelineSize),
+		meters:   newMeters(),
+		drained:  make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(nd)
+	}
+	if err := nd.listen(); err != nil {
+		return nil, err
+	}
+	nd.assemble()
+	return nd, nil
+}
+
+func (nd *Node) listen() error {
+	var err error
+	if nd.callerListener, err = net.Listen("tcp", string(nd.settings.Listen)); err != nil {
+		return errors.WithMessage(err, "listen for callers")
+	}
+	if nd.peerListener, err = net.Listen("tcp", string(nd.settings.PeerListen)); err != nil {
+		return errors.WithMessage(err, "listen for peers")
+	}
+	if nd.adminListener, err = net.Listen("tcp", string(nd.settings.AdminListen)); err != nil {
+		return errors.WithMessage(err, "listen for operators")
+	}
+	return nil
+}
+
+func (nd *Node) assemble() {
+	started := nd.now()
+	self := fleet.Member{
+		ID:          nd.settings.Instance,
+		Incarnation: uint64(started.UnixMilli()),
+		Address:     nd.PeerAddress(),
+		Zone:        nd.settings.Zone,
+		Region:      nd.settings.Region,
+	}
+	options := append([]core.Option{core.WithSeed(nd.settings.Seed)}, nd.options...)
+	nd.loop = &loop{state: core.New(self, options...), now: nd.now, run: nd.run}
+	nd.peers = peer.NewClient(nd.clock, nd.now)
+	nd.owner = proxy.NewOwner(nd.loop.post, nd.load, nd.now, proxy.WithMaxBody(nd.settings.MaxBody))
+	forward := proxy.NewForwarder(nd.now, nd.settings.MaxBody)
+	nd.entry = proxy.NewEntry(nd.settings.Instance, nd.loop.post, nd.owner, forward, nd.now)
+}
+
+// CallerAddress returns the address that callers connect to.
+func (nd *Node) CallerAddress() types.Address {
+	return types.Address(nd.callerListener.Addr().String())
+}
+
+// PeerAddress returns the address that other nodes connect to.
+func (nd *Node) PeerAddress() types.Address {
+	if nd.settings.Advertise != "" {
+		return nd.settings.Advertise
+	}
+	return types.Address(nd.peerListener.Addr().String())
+}
+
+// AdminAddress returns the address that operators connect to.
+func (nd *Node) AdminAddress() types.Address {
+	return types.Address(nd.adminListener.Addr().String())
+}
+
+func (nd *Node) load() route.Load {
+	var load route.Load
+	nd.loop.read(func(state *core.State) { load = state.Load() })
+	return load
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (nd *Node) Run(ctx context.Context) error {
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	nd.life = life
+	nd.event(trace.Event{Kind: trace.NodeStarted, Subject: nd.settings.Instance})
+	var group run.Group
+	nd.addServer(&group, nd.callerListener, nd.entry)
+	nd.addServer(&group, nd.peerListener, nd.peerHandler())
+	nd.addServer(&group, nd.adminListener, nd.adminHandler())
+	addTask(life, &group, nd.tick)
+	addTask(life, &group, nd.join)
+	addTask(life, &group, func(life context.Context) error { return nd.awaitStop(ctx, life) })
+	return group.Run()
+}
+
+func addTask(life context.Context, group *run.Group, task func(context.Context) error) {
+	ctx, cancel := context.WithCancel(life)
+	group.Add(func() error { return task(ctx) }, func(error) { cancel() })
+}
+
+func (nd *Node) addServer(group *run.Group, listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderLimit, IdleTimeout: callerIdleLimit}
+	group.Add(
+		func() error { return server.Serve(listener) },
+		func(error) {
+			ctx, cancel := context.WithTimeout(context.Background(), shutdownInterval)
+			defer cancel()
+			_ = server.Shutdown(ctx)
+		})
+}
+
+func (nd *Node) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			nd.loop.post(core.Tick{})
+		}
+	}
+}
+
+// awaitStop ends when the node was told to stop and has drained.
+func (nd *Node) awaitStop(asked, life context.Context) error {
+	select {
+	case <-asked.Done():
+	case <-life.Done():
+		return nil
+	}
+	nd.loop.post(core.StopAsked{})
+	limit := time.NewTimer(nd.settings.StopLimit)
+	defer limit.Stop()
+	select {
+	case <-nd.drained:
+	case <-limit.C:
+		_ = nd.logger.Log("event", "stop-limit-reached")
+	}
+	return nd.leave(life)
+}
+
+func (nd *Node) view() admin.View {
+	var view admin.View
+	nd.loop.read(func(state *core.State) {
+		view = admin.View{
+			Self:    nd.settings.Instance,
+			Version: state.Conf().Current().Version(),
+			Floor:   state.Conf().Floor(),
+			Refused: state.Conf().Refused(),
+			Members: state.Fleet().Members(),
+		}
+	})
+	return view
+}
+
+func (nd *Node) bundle() conf.Bundle {
+	var bundle conf.Bundle
+	nd.loop.read(func(state *core.State) { bundle = state.Conf().Current().Bundle() })
+	return bundle
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,137 @@
+// Package peer carries the control messages between nodes.
+//
+// # Usage
+//
+//	path, handler := peer.NewHandler(peer.Service{Exchange: exchange, Pull: pull})
+//	client := peer.NewClient(clock)
+//	answer, err := client.Exchange(ctx, address, message)
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"sequoiamill.example/sequoiamill/api/peerv1"
+	"sequoiamill.example/sequoiamill/api/peerv1/peerv1connect"
+	"sequoiamill.example/sequoiamill/codec"
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/trace"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+const (
+	maxMessage      = 8 << 20
+	idleConnections = 256
+	idleTimeout     = 30 * time.Second
+)
+
+// Service is what a node answers to its peers.
+type Service struct {
+	// Clock orders this node's events after those of its peers.
+	Clock *trace.Clock
+	// Now returns the present time.
+	Now func() time.Time
+	// Exchange answers a membership message.
+	Exchange func(ctx context.Context, message fleet.Message) (fleet.Message, error)
+	// Pull returns the configuration in force.
+	Pull func() conf.Bundle
+	// Probe asks another node for an answer.
+	Probe func(ctx context.Context, id types.InstanceID, address types.Address) bool
+}
+
+// NewHandler returns the path and handler that serve peers.
+func NewHandler(service Service) (string, http.Handler) {
+	return peerv1connect.NewPeerHandler(&server{service: service}, connect.WithReadMaxBytes(maxMessage))
+}
+
+type server struct{ service Service }
+
+// Exchange answers a membership message.
+func (sv *server) Exchange(ctx context.Context, request *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+	message, stamp, err := codec.MessageFromProto(request.Msg.GetMessage())
+	if err != nil {
+		return nil, codec.FaultToRPC(err)
+	}
+	now := sv.service.Now()
+	sv.service.Clock.Observe(stamp, now)
+	answer, err := sv.service.Exchange(ctx, message)
+	if err != nil {
+		return nil, codec.FaultToRPC(err)
+	}
+	wire := codec.MessageToProto(answer, sv.service.Clock.Now(now))
+	return connect.NewResponse(&peerv1.ExchangeResponse{Message: wire}), nil
+}
+
+// Probe asks a third node for an answer.
+func (sv *server) Probe(ctx context.Context, request *connect.Request[peerv1.ProbeRequest]) (*connect.Response[peerv1.ProbeResponse], error) {
+	reached := sv.service.Probe(ctx, types.InstanceID(request.Msg.GetInstance()), types.Address(request.Msg.GetAddress()))
+	return connect.NewResponse(&peerv1.ProbeResponse{Reached: reached}), nil
+}
+
+// Pull returns the configuration in force.
+func (sv *server) Pull(_ context.Context, request *connect.Request[peerv1.PullRequest]) (*connect.Response[peerv1.PullResponse], error) {
+	held := make([]types.Hash, 0, len(request.Msg.GetHeldHashes()))
+	for _, hash := range request.Msg.GetHeldHashes() {
+		held = append(held, types.Hash(hash))
+	}
+	return connect.NewResponse(codec.BundleToProto(sv.service.Pull(), types.NewSet(held...))), nil
+}
+
+// Client calls peers.
+type Client struct {
+	http  *http.Client
+	clock *trace.Clock
+	now   func() time.Time
+}
+
+// NewClient returns a client whose messages carry a clock.
+func NewClient(clock *trace.Clock, now func() time.Time) *Client {
+	transport := &http.Transport{MaxIdleConns: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	return &Client{http: &http.Client{Transport: transport}, clock: clock, now: now}
+}
+
+func (cl *Client) dial(address types.Address) peerv1connect.PeerClient {
+	return peerv1connect.NewPeerClient(cl.http, "http://"+string(address), connect.WithReadMaxBytes(maxMessage))
+}
+
+// Exchange sends a membership message and returns the answer.
+func (cl *Client) Exchange(ctx context.Context, address types.Address, message fleet.Message) (fleet.Message, error) {
+	wire := codec.MessageToProto(message, cl.clock.Now(cl.now()))
+	reply, err := cl.dial(address).Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{Message: wire}))
+	if err != nil {
+		return fleet.Message{}, codec.FaultFromRPC(err)
+	}
+	answer, stamp, err := codec.MessageFromProto(reply.Msg.GetMessage())
+	if err != nil {
+		return fleet.Message{}, err
+	}
+	cl.clock.Observe(stamp, cl.now())
+	return answer, nil
+}
+
+// Probe asks a peer whether it reaches another node.
+func (cl *Client) Probe(ctx context.Context, address types.Address, id types.InstanceID, target types.Address) (bool, error) {
+	request := &peerv1.ProbeRequest{Instance: string(id), Address: string(target)}
+	reply, err := cl.dial(address).Probe(ctx, connect.NewRequest(request))
+	if err != nil {
+		return false, codec.FaultFromRPC(err)
+	}
+	return reply.Msg.GetReached(), nil
+}
+
+// Pull fetches a peer's configuration, using the bodies already held.
+func (cl *Client) Pull(ctx context.Context, address types.Address, held conf.Bundle) (conf.Bundle, error) {
+	request := &peerv1.PullRequest{}
+	for hash := range held.Bodies {
+		request.HeldHashes = append(request.HeldHashes, string(hash))
+	}
+	reply, err := cl.dial(address).Pull(ctx, connect.NewRequest(request))
+	if err != nil {
+		return conf.Bundle{}, codec.FaultFromRPC(err)
+	}
+	return codec.BundleFromProto(reply.Msg, held), nil
+}
--- /dev/null
+++ b/plat/memory.go
@@ -0,0 +1,105 @@
+package plat
+
+import (
+	"context"
+	"strconv"
+	"sync"
+
+	"sequoiamill.example/sequoiamill/fault"
+)
+
+// Memory is an object store in memory.
+type Memory struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[Name]Object
+	changed  chan struct{}
+}
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{objects: map[Name]Object{}, changed: make(chan struct{})}
+}
+
+// Store returns the store behind the seam.
+func (m *Memory) Store() *Store {
+	return &Store{Get: m.Get, List: m.List, Put: m.Put, Delete: m.Delete, Watch: m.Watch}
+}
+
+// Get reads one object.
+func (m *Memory) Get(_ context.Context, name Name) (Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	object, ok := m.objects[name]
+	if !ok {
+		return Object{}, fault.New(fault.NotFound, "object %s/%s does not exist", name.Kind, name.Name)
+	}
+	return object, nil
+}
+
+// List reads all objects of a kind.
+func (m *Memory) List(_ context.Context, kind Kind) ([]Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var objects []Object
+	for name, object := range m.objects {
+		if name.Kind == kind {
+			objects = append(objects, object)
+		}
+	}
+	return objects, nil
+}
+
+// Put writes an object if its revision is the current one.
+func (m *Memory) Put(_ context.Context, object Object) (Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects[object.Name].Revision != object.Revision {
+		return Object{}, conflict(object.Name)
+	}
+	m.revision++
+	object.Revision = Revision(strconv.FormatUint(m.revision, 10))
+	m.objects[object.Name] = object
+	m.notify()
+	return object, nil
+}
+
+// Delete removes an object if its revision is the current one.
+func (m *Memory) Delete(_ context.Context, object Object) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects[object.Name].Revision != object.Revision {
+		return conflict(object.Name)
+	}
+	delete(m.objects, object.Name)
+	m.notify()
+	return nil
+}
+
+// Watch calls seen with the object's state now and after each change.
+func (m *Memory) Watch(ctx context.Context, name Name, seen func(Object)) error {
+	var last Revision
+	for {
+		m.mu.Lock()
+		object, changed := m.objects[name], m.changed
+		m.mu.Unlock()
+		if object.Revision != last {
+			last = object.Revision
+			seen(object)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (m *Memory) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func conflict(name Name) error {
+	return fault.New(fault.VersionConflict, "object %s/%s has another revision", name.Kind, name.Name)
+}
--- /dev/null
+++ b/proxy/entry.go
@@ -0,0 +1,267 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/route"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+// Entry takes the requests of callers.
+type Entry struct {
+	self    types.InstanceID
+	post    func(types.Event)
+	owner   *Owner
+	forward *Forwarder
+	now     func() time.Time
+	maxBody int64
+	nextID  atomic.Uint64
+	mu      sync.Mutex
+	calls   map[types.CallID]*openCall
+}
+
+type openCall struct {
+	job      Job
+	done     chan result
+	attempts map[int]*openAttempt
+}
+
+type openAttempt struct {
+	cancel context.CancelFunc
+	answer Answer
+}
+
+type result struct {
+	answer Answer
+	err    *fault.Error
+}
+
+// NewEntry returns an entry that sends work to its own upstream through owner
+// and to those of other nodes through forward.
+func NewEntry(self types.InstanceID, post func(types.Event), owner *Owner, forward *Forwarder, now func() time.Time) *Entry {
+	return &Entry{
+		self: self, post: post, owner: owner, forward: forward, now: now,
+		maxBody: owner.maxBody, calls: map[types.CallID]*openCall{},
+	}
+}
+
+// ServeHTTP answers one request of a caller.
+func (en *Entry) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	job, limit, err := en.readCall(request)
+	if err != nil {
+		writeFault(writer, job.Request, err)
+		return
+	}
+	id := types.CallID(en.nextID.Add(1))
+	open := &openCall{job: job, done: make(chan result, 1), attempts: map[int]*openAttempt{}}
+	en.put(id, open)
+	defer en.remove(id)
+	target := route.Request{Method: request.Method, Host: request.Host, Path: request.URL.Path}
+	en.post(flow.CallArrived{Call: id, Request: job.Request, Key: job.Key, Target: target, Limit: limit})
+	select {
+	case end := <-open.done:
+		en.write(writer, job.Request, end)
+	case <-request.Context().Done():
+		en.post(flow.CallCanceled{Call: id})
+	}
+}
+
+func (en *Entry) readCall(request *http.Request) (Job, types.Option[time.Duration], *fault.Error) {
+	job := Job{Request: newRequestID(), Entry: en.self, Method: request.Method, URI: request.URL.RequestURI(), Host: request.Host}
+	limit, err := limitOf(request.Header)
+	if err != nil {
+		return job, limit, err
+	}
+	job.Key = keyOf(request.Header)
+	job.Header = stripOwnHeaders(request.Header)
+	body, readErr := readBody(request.Body, en.maxBody)
+	if readErr != nil {
+		known := fault.From(readErr)
+		if known.Kind == fault.Internal {
+			known = fault.Wrap(fault.InvalidInput, readErr, "read the request")
+		}
+		return job, limit, known
+	}
+	job.Body = body
+	return job, limit, nil
+}
+
+func newRequestID() types.RequestID {
+	id, err := uuid.NewV7()
+	if err != nil {
+		id = uuid.New()
+	}
+	return types.RequestID(id.String())
+}
+
+func limitOf(header http.Header) (types.Option[time.Duration], *fault.Error) {
+	text := header.Get(HeaderTimeLeft)
+	if text == "" {
+		return types.None[time.Duration](), nil
+	}
+	micros, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || micros <= 0 || micros > math.MaxInt64/int64(time.Microsecond) {
+		return types.None[time.Duration](), fault.New(fault.InvalidInput, "header %s: %q is not a positive number", HeaderTimeLeft, text)
+	}
+	return types.Some(time.Duration(micros) * time.Microsecond), nil
+}
+
+func formatMicros(left time.Duration) string {
+	return strconv.FormatInt(left.Microseconds(), 10)
+}
+
+// Run carries out the effects of calls and reports whether the effect was one
+// of them.
+func (en *Entry) Run(effect types.Effect) bool {
+	switch ef := effect.(type) {
+	case flow.StartAttempt:
+		en.start(ef)
+	case flow.CancelAttempt:
+		en.cancel(ef)
+	case flow.Deliver:
+		en.deliver(ef)
+	case flow.Fail:
+		if open, ok := en.get(ef.Call); ok {
+			open.done <- result{err: ef.Err}
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+func (en *Entry) start(effect flow.StartAttempt) {
+	open, ok := en.get(effect.Call)
+	if !ok {
+		return
+	}
+	job := open.job
+	job.Route = effect.Route
+	job.Deadline = effect.Deadline
+	ctx, cancel := context.WithDeadline(context.Background(), effect.Deadline)
+	en.mu.Lock()
+	open.attempts[effect.Attempt] = &openAttempt{cancel: cancel}
+	en.mu.Unlock()
+	go en.attempt(ctx, open, effect, job)
+}
+
+func (en *Entry) attempt(ctx context.Context, open *openCall, effect flow.StartAttempt, job Job) {
+	start := en.now()
+	var reply Reply
+	if effect.Target.Local {
+		reply = en.owner.Do(ctx, job)
+	} else {
+		reply = en.forward.Do(ctx, effect.Target.Address, job)
+	}
+	en.mu.Lock()
+	attempt := open.attempts[effect.Attempt]
+	attempt.answer = reply.Answer
+	attempt.cancel()
+	en.mu.Unlock()
+	en.post(flow.AttemptEnded{
+		Call:    effect.Call,
+		Attempt: effect.Attempt,
+		Verdict: reply.Verdict,
+		Err:     reply.Err,
+		Load:    reply.Load,
+		Elapsed: en.now().Sub(start),
+	})
+}
+
+func (en *Entry) cancel(effect flow.CancelAttempt) {
+	open, ok := en.get(effect.Call)
+	if !ok {
+		return
+	}
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if attempt, ok := open.attempts[effect.Attempt]; ok {
+		attempt.cancel()
+	}
+}
+
+func (en *Entry) deliver(effect flow.Deliver) {
+	open, ok := en.get(effect.Call)
+	if !ok {
+		return
+	}
+	en.mu.Lock()
+	answer := open.attempts[effect.Attempt].answer
+	en.mu.Unlock()
+	open.done <- result{answer: answer}
+}
+
+func (en *Entry) put(id types.CallID, open *openCall) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.calls[id] = open
+}
+
+func (en *Entry) get(id types.CallID) (*openCall, bool) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	open, ok := en.calls[id]
+	return open, ok
+}
+
+func (en *Entry) remove(id types.CallID) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	delete(en.calls, id)
+}
+
+func (en *Entry) write(writer http.ResponseWriter, request types.RequestID, end result) {
+	if end.err != nil {
+		writeFault(writer, request, end.err)
+		return
+	}
+	header := writer.Header()
+	for name, values := range end.answer.Header {
+		header[name] = values
+	}
+	header.Set(HeaderRequestID, string(request))
+	header.Set(HeaderOutcome, fault.Ran.String())
+	header.Set("Content-Length", strconv.Itoa(len(end.answer.Body)))
+	writer.WriteHeader(end.answer.Status)
+	_, _ = writer.Write(end.answer.Body)
+}
+
+type faultWire struct {
+	Kind             string `json:"kind"`
+	Message          string `json:"message"`
+	Outcome          string `json:"outcome"`
+	RequestID        string `json:"request-id"`
+	RetryAfterMillis int64  `json:"retry-after-millis,omitempty"`
+}
+
+// writeFault answers a caller with an error.
+func writeFault(writer http.ResponseWriter, request types.RequestID, err *fault.Error) {
+	header := writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderRequestID, string(request))
+	header.Set(HeaderErrorKind, err.Kind.String())
+	header.Set(HeaderOutcome, err.Outcome.String())
+	if err.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(err.RetryAfter.Seconds()))))
+		header.Set(headerRetryAfter, strconv.FormatInt(err.RetryAfter.Milliseconds(), 10))
+	}
+	writer.WriteHeader(fault.AnswerOf(err.Kind).HTTPStatus)
+	_ = json.NewEncoder(writer).Encode(faultWire{
+		Kind:             err.Kind.String(),
+		Message:          err.Message,
+		Outcome:          err.Outcome.String(),
+		RequestID:        string(request),
+		RetryAfterMillis: err.RetryAfter.Milliseconds(),
+	})
+}
--- /dev/null
+++ b/proxy/wire.go
@@ -0,0 +1,260 @@
+// Package proxy carries calls between callers, nodes and upstreams. Its two
+// roles are Entry, which callers connect to, and Owner, which alone sends work
+// to the local upstream.
+//
+// # Usage
+//
+//	owner := proxy.NewOwner(post, proxy.WithMaxBody(1<<20))
+//	entry := proxy.NewEntry(self, post, owner, now)
+//	server := http.Server{Handler: entry}
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/route"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+// The headers of calls. Callers may send the request identifier, the time
+// left and the idempotency key; the others are for use between nodes.
+const (
+	HeaderRequestID = "Sequoiamill-Request-Id"
+	HeaderTimeLeft  = "Sequoiamill-Time-Left-Micros"
+	HeaderOutcome   = "Sequoiamill-Outcome"
+	HeaderErrorKind = "Sequoiamill-Error-Kind"
+	HeaderKey       = "Idempotency-Key"
+
+	headerPrefix      = "Sequoiamill-"
+	headerEntry       = "Sequoiamill-Entry"
+	headerService     = "Sequoiamill-Service"
+	headerRoute       = "Sequoiamill-Route"
+	headerImportance  = "Sequoiamill-Importance"
+	headerIdempotent  = "Sequoiamill-Idempotent"
+	headerMethod      = "Sequoiamill-Method"
+	headerURI         = "Sequoiamill-Uri"
+	headerHost        = "Sequoiamill-Host"
+	headerVerdict     = "Sequoiamill-Verdict"
+	headerStatus      = "Sequoiamill-Status"
+	headerDigest      = "Sequoiamill-Digest"
+	headerOutstanding = "Sequoiamill-Outstanding"
+	headerQueued      = "Sequoiamill-Queued"
+	headerRetryAfter  = "Sequoiamill-Retry-After-Millis"
+)
+
+// ForwardPath is where a node takes work from other nodes.
+const ForwardPath = "/forward"
+
+const defaultMaxBody = 8 << 20
+
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// Answer is the whole answer of an upstream.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Job is one attempt with all that the upstream needs.
+type Job struct {
+	Request  types.RequestID
+	Entry    types.InstanceID
+	Route    conf.Route
+	Key      types.Option[types.Key]
+	Deadline time.Time
+	Method   string
+	URI      string
+	Host     string
+	Header   http.Header
+	Body     []byte
+}
+
+// Reply is how a job ended at its owner.
+type Reply struct {
+	Verdict flow.Verdict
+	Err     *fault.Error
+	Load    route.Load
+	Answer  Answer
+}
+
+// refusal returns a reply to a job that did not run.
+func refusal(err *fault.Error) Reply { return Reply{Verdict: flow.NotRun, Err: err} }
+
+// lost returns a reply to a job that may have run.
+func lost(err *fault.Error) Reply { return Reply{Verdict: flow.Lost, Err: err} }
+
+func stripHopHeaders(header http.Header) http.Header {
+	clean := header.Clone()
+	if clean == nil {
+		clean = http.Header{}
+	}
+	for _, name := range hopHeaders {
+		clean.Del(name)
+	}
+	return clean
+}
+
+func stripOwnHeaders(header http.Header) http.Header {
+	clean := stripHopHeaders(header)
+	for name := range clean {
+		if len(name) >= len(headerPrefix) && name[:len(headerPrefix)] == headerPrefix {
+			clean.Del(name)
+		}
+	}
+	return clean
+}
+
+// readBody reads a body of at most limit bytes.
+func readBody(body io.Reader, limit int64) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(text)) > limit {
+		return nil, fault.New(fault.TooLarge, "the body has more than %d bytes", limit)
+	}
+	return text, nil
+}
+
+func digestOf(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
+
+// onceBody is a request body that the transport cannot replay.
+type onceBody struct{ io.Reader }
+
+// Close does nothing.
+func (onceBody) Close() error { return nil }
+
+func writeJobHeaders(header http.Header, job Job, now time.Time) {
+	header.Set(HeaderRequestID, string(job.Request))
+	header.Set(HeaderTimeLeft, strconv.FormatInt(job.Deadline.Sub(now).Microseconds(), 10))
+	header.Set(headerEntry, string(job.Entry))
+	header.Set(headerService, string(job.Route.Service))
+	header.Set(headerRoute, string(job.Route.Name))
+	header.Set(headerImportance, job.Route.Importance.String())
+	header.Set(headerIdempotent, strconv.FormatBool(job.Route.Idempotent))
+	header.Set(headerMethod, job.Method)
+	header.Set(headerURI, job.URI)
+	header.Set(headerHost, job.Host)
+	if key, ok := job.Key.Get(); ok {
+		header.Set(HeaderKey, string(key))
+	}
+}
+
+func readJobHeaders(header http.Header, now time.Time) (Job, error) {
+	left, err := strconv.ParseInt(header.Get(HeaderTimeLeft), 10, 64)
+	if err != nil {
+		return Job{}, fault.New(fault.InvalidInput, "the time left %q is not a number", header.Get(HeaderTimeLeft))
+	}
+	importance, ok := conf.ParseImportance(header.Get(headerImportance))
+	if !ok {
+		return Job{}, fault.New(fault.InvalidInput, "the importance %q is not known", header.Get(headerImportance))
+	}
+	idempotent, err := strconv.ParseBool(header.Get(headerIdempotent))
+	if err != nil {
+		return Job{}, fault.New(fault.InvalidInput, "the idempotent mark %q is not true or false", header.Get(headerIdempotent))
+	}
+	job := Job{
+		Request: types.RequestID(header.Get(HeaderRequestID)),
+		Entry:   types.InstanceID(header.Get(headerEntry)),
+		Route: conf.Route{
+			Name:       types.RouteName(header.Get(headerRoute)),
+			Service:    types.ServiceName(header.Get(headerService)),
+			Importance: importance,
+			Idempotent: idempotent,
+		},
+		Key:      keyOf(header),
+		Deadline: now.Add(time.Duration(left) * time.Microsecond),
+		Method:   header.Get(headerMethod),
+		URI:      header.Get(headerURI),
+		Host:     header.Get(headerHost),
+		Header:   stripOwnHeaders(header),
+	}
+	if job.Request == "" || job.Method == "" || job.URI == "" || job.Route.Service == "" {
+		return Job{}, fault.New(fault.InvalidInput, "a header of the forwarded call is missing")
+	}
+	return job, nil
+}
+
+func keyOf(header http.Header) types.Option[types.Key] {
+	if text := header.Get(HeaderKey); text != "" {
+		return types.Some(types.Key(text))
+	}
+	return types.None[types.Key]()
+}
+
+func writeReply(writer http.ResponseWriter, request types.RequestID, reply Reply) {
+	header := writer.Header()
+	for name, values := range stripOwnHeaders(reply.Answer.Header) {
+		header[name] = values
+	}
+	header.Set(HeaderRequestID, string(request))
+	header.Set(headerVerdict, reply.Verdict.String())
+	header.Set(headerOutstanding, strconv.Itoa(reply.Load.Outstanding))
+	header.Set(headerQueued, strconv.Itoa(reply.Load.Queued))
+	body := reply.Answer.Body
+	if reply.Err != nil {
+		body = []byte(reply.Err.Message)
+		header.Set(HeaderErrorKind, reply.Err.Kind.String())
+		header.Set(headerRetryAfter, strconv.FormatInt(reply.Err.RetryAfter.Milliseconds(), 10))
+	}
+	header.Set(headerStatus, strconv.Itoa(reply.Answer.Status))
+	header.Set(headerDigest, digestOf(body))
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	writer.WriteHeader(http.StatusOK)
+	_, _ = writer.Write(body)
+}
+
+func readReply(response *http.Response, request types.RequestID, limit int64) (Reply, error) {
+	body, err := readBody(response.Body, limit)
+	if err != nil {
+		return Reply{}, err
+	}
+	header := response.Header
+	if header.Get(HeaderRequestID) != string(request) {
+		return Reply{}, fault.New(fault.BrokenAnswer, "the answer is for the request %q", header.Get(HeaderRequestID))
+	}
+	if header.Get(headerDigest) != digestOf(body) {
+		return Reply{}, fault.New(fault.BrokenAnswer, "the answer's digest does not match")
+	}
+	reply := Reply{Load: loadOf(header)}
+	switch header.Get(headerVerdict) {
+	case flow.Answered.String():
+		status, err := strconv.Atoi(header.Get(headerStatus))
+		if err != nil {
+			return Reply{}, fault.New(fault.BrokenAnswer, "the answer's status is %q", header.Get(headerStatus))
+		}
+		reply.Verdict = flow.Answered
+		reply.Answer = Answer{Status: status, Header: stripOwnHeaders(header), Body: body}
+		return reply, nil
+	case flow.NotRun.String():
+		reply.Verdict = flow.NotRun
+	default:
+		reply.Verdict = flow.Lost
+	}
+	reply.Err = faultOf(header, body)
+	return reply, nil
+}
+
+func loadOf(header http.Header) route.Load {
+	outstanding, _ := strconv.Atoi(header.Get(headerOutstanding))
+	queued, _ := strconv.Atoi(header.Get(headerQueued))
+	return route.Load{Outstanding: max(0, outstanding), Queued: max(0, queued)}
+}
+
+func faultOf(header http.Header, body []byte) *fault.Error {
+	kind, _ := fault.ParseKind(header.Get(HeaderErrorKind))
+	millis, _ := strconv.ParseInt(header.Get(headerRetryAfter), 10, 64)
+	return fault.New(kind, "%s", body).WithRetryAfter(time.Duration(millis) * time.Millisecond)
+}
--- /dev/null
+++ b/script/script_test.go
@@ -0,0 +1,174 @@
+// Package script runs scenarios of whole processes, written in the language of
+// testscript, from testdata.
+package script
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+	_ "time/tzdata"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"sequoiamill.example/sequoiamill/fakes"
+	"sequoiamill.example/sequoiamill/verbs"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"sequoiamill": func() { os.Exit(verbs.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"platform":    platform,
+		"upstream":    upstream,
+		"load":        load,
+		"get":         get,
+		"eventually":  eventually,
+	})
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setup,
+		Cmds:  map[string]func(*testscript.TestScript, bool, []string){"signal": sendSignal},
+	})
+}
+
+var signals = map[string]os.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+
+// sendSignal signals the background process whose arguments hold a text.
+func sendSignal(ts *testscript.TestScript, _ bool, args []string) {
+	const want = 2
+	if len(args) != want || signals[args[0]] == nil {
+		ts.Fatalf("usage: signal TERM|KILL|STOP|CONT arguments")
+	}
+	for _, cmd := range ts.BackgroundCmds() {
+		if strings.Contains(strings.Join(cmd.Args, " ")+" ", args[1]+" ") {
+			ts.Check(cmd.Process.Signal(signals[args[0]]))
+			return
+		}
+	}
+	ts.Fatalf("no background process has the arguments %q", args[1])
+}
+
+// setup gives each scenario free loopback ports as $PORT0 to $PORT19.
+func setup(env *testscript.Env) error {
+	const ports = 20
+	var listeners []net.Listener
+	for number := range ports {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		listeners = append(listeners, listener)
+		env.Setenv(fmt.Sprintf("A%d", number), listener.Addr().String())
+	}
+	for _, listener := range listeners {
+		if err := listener.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func serve(address string, handler http.Handler) {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: time.Minute}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go func() {
+		<-ctx.Done()
+		_ = server.Shutdown(context.Background())
+	}()
+	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		fmt.Fprintln(os.Stderr, err)
+	}
+}
+
+func platform() {
+	serve(os.Args[1], fakes.NewPlatform())
+}
+
+func upstream() {
+	name := flag.String("name", "", "name in the answers")
+	listen := flag.String("listen", "", "address")
+	admin := flag.String("admin", "", "operator address of the node")
+	service := flag.String("service", "", "service")
+	work := flag.Duration("work", 0, "time of each request")
+	flag.Parse()
+	announcement := fakes.Announcement{Service: *service, Address: *listen, Slots: 10, Connections: 100}
+	go fakes.Announce(context.Background(), *admin, announcement, time.Second)
+	serve(*listen, &fakes.Upstream{Name: *name, Work: *work})
+}
+
+// load sends requests one after another and fails on any bad answer.
+func load() {
+	count := flag.Int("count", 1, "number of requests")
+	flag.Parse()
+	for number := range *count {
+		want := fmt.Sprintf("body-%d", number)
+		response, err := http.Post(flag.Arg(0), "text/plain", strings.NewReader(want))
+		if err != nil {
+			fail("request %d: %v", number, err)
+		}
+		body, err := io.ReadAll(response.Body)
+		if err != nil || response.StatusCode != http.StatusOK || !strings.HasSuffix(string(body), want) {
+			fail("request %d: %s %v %q", number, response.Status, err, body)
+		}
+		_ = response.Body.Close()
+	}
+	fmt.Printf("%d whole answers\n", *count)
+}
+
+func get() {
+	response, err := http.Get(os.Args[1])
+	if err != nil {
+		fail("%v", err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		fail("%v", err)
+	}
+	fmt.Printf("%s\n%s\n", response.Status, body)
+}
+
+// eventually repeats a command line until its output holds a text.
+func eventually() {
+	want, args := os.Args[1], os.Args[2:]
+	var last strings.Builder
+	for {
+		last.Reset()
+		if args[0] == "sequoiamill" {
+			verbs.Main(args[1:], &last, &last)
+		} else {
+			fetch(args[1], &last)
+		}
+		if strings.Contains(last.String(), want) {
+			fmt.Print(last.String())
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func fetch(url string, out io.Writer) {
+	response, err := http.Get(url)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = fmt.Fprintln(out, response.Status)
+	_, _ = io.Copy(out, response.Body)
+}
+
+func fail(format string, args ...any) {
+	fmt.Fprintf(os.Stderr, format+"\n", args...)
+	os.Exit(1)
+}
--- /dev/null
+++ b/trace/count.go
@@ -0,0 +1,67 @@
+package trace
+
+// Counter names a count of the node.
+type Counter int
+
+// The counters.
+const (
+	CallsArrived Counter = iota + 1
+	CallsDelivered
+	CallsFailed
+	CallsCanceled
+	AttemptsStarted
+	AttemptsRetried
+	AttemptsHedged
+	RetriesDenied
+	WorkDispatched
+	WorkQueued
+	WorkShed
+	WorkJoined
+	WorkReplays
+	ExchangesSent
+	ExchangesFailed
+	ConfigPulls
+	counterCount
+)
+
+var counterNames = [counterCount]string{
+	CallsArrived:    "calls_arrived",
+	CallsDelivered:  "calls_delivered",
+	CallsFailed:     "calls_failed",
+	CallsCanceled:   "calls_canceled",
+	AttemptsStarted: "attempts_started",
+	AttemptsRetried: "attempts_retried",
+	AttemptsHedged:  "attempts_hedged",
+	RetriesDenied:   "retries_denied",
+	WorkDispatched:  "work_dispatched",
+	WorkQueued:      "work_queued",
+	WorkShed:        "work_shed",
+	WorkJoined:      "work_joined",
+	WorkReplays:     "work_replays",
+	ExchangesSent:   "exchanges_sent",
+	ExchangesFailed: "exchanges_failed",
+	ConfigPulls:     "config_pulls",
+}
+
+// Counters returns every counter.
+func Counters() []Counter {
+	all := make([]Counter, 0, counterCount)
+	for counter := Counter(1); counter < counterCount; counter++ {
+		all = append(all, counter)
+	}
+	return all
+}
+
+// String returns the name of the counter as metrics spell it.
+func (c Counter) String() string {
+	if c < 1 || c >= counterCount {
+		return "unknown_counter"
+	}
+	return counterNames[c]
+}
+
+// Count is the effect to add one to a counter.
+type Count struct{ Counter Counter }
+
+// Effect marks the type as an effect.
+func (Count) Effect() {}
--- /dev/null
+++ b/verbs/main.go
@@ -0,0 +1,70 @@
+// Package verbs is the command line: the node and the operator's tools.
+//
+// # Usage
+//
+//	os.Exit(verbs.Main(os.Args[1:], os.Stdout, os.Stderr))
+package verbs
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+
+	"sequoiamill.example/sequoiamill/fault"
+)
+
+const usageExitCode = 2
+
+type commands struct {
+	Node     nodeCmd     `cmd:"" help:"Run a node beside an upstream."`
+	Check    checkCmd    `cmd:"" help:"Check a configuration file."`
+	Apply    applyCmd    `cmd:"" help:"Publish a configuration file as a new version."`
+	Get      getCmd      `cmd:"" help:"Print the configuration that the platform holds."`
+	Status   statusCmd   `cmd:"" help:"Print which nodes hold which version."`
+	Timeline timelineCmd `cmd:"" help:"Print the events of all nodes in order."`
+	Version  versionCmd  `cmd:"" help:"Print the version of the program."`
+}
+
+// output is where a command writes.
+type output struct {
+	out io.Writer
+	err io.Writer
+}
+
+func (o output) printf(format string, args ...any) { _, _ = fmt.Fprintf(o.out, format, args...) }
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, errs io.Writer) int {
+	var cmds commands
+	exit := -1
+	parser, err := kong.New(&cmds,
+		kong.Name("sequoiamill"),
+		kong.Description("Distributes the configuration of a service mesh and carries its calls."),
+		kong.DefaultEnvars("SEQUOIAMILL"),
+		kong.Writers(out, errs),
+		kong.Exit(func(code int) { exit = code }),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		return report(errs, err)
+	}
+	parsed, err := parser.Parse(args)
+	if exit >= 0 {
+		return exit
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(errs, "sequoiamill: %v\n", err)
+		return usageExitCode
+	}
+	if err := parsed.Run(output{out: out, err: errs}); err != nil {
+		return report(errs, err)
+	}
+	return 0
+}
+
+func report(errs io.Writer, err error) int {
+	known := fault.From(err)
+	_, _ = fmt.Fprintf(errs, "sequoiamill: %v\n", known)
+	return fault.AnswerOf(known.Kind).ExitCode
+}
--- /dev/null
+++ b/verbs/node.go
@@ -0,0 +1,68 @@
+package verbs
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"sequoiamill.example/sequoiamill/node"
+	"sequoiamill.example/sequoiamill/plat"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+type nodeCmd struct {
+	Instance    string        `help:"Name of this instance." required:""`
+	Zone        string        `help:"Availability zone of this instance." required:""`
+	Region      string        `help:"Region of this instance." default:"default"`
+	Platform    string        `help:"Base URL of the platform's object API." required:""`
+	Namespace   string        `help:"Namespace of the objects." default:"default"`
+	Listen      string        `help:"Address for callers." default:"127.0.0.1:8080"`
+	PeerListen  string        `help:"Address for other nodes." default:"127.0.0.1:8081"`
+	AdminListen string        `help:"Address for operators, scrapes and announcements." default:"127.0.0.1:8082"`
+	Advertise   string        `help:"Peer address that other nodes are told; empty means that of the listener."`
+	Peer        []string      `help:"Peer address to join by when the platform is down; may be repeated."`
+	MaxBody     int64         `help:"Greatest size of a request or an answer in bytes." default:"8388608"`
+	StopLimit   time.Duration `help:"Longest time of a graceful stop." default:"30s"`
+	Seed        uint64        `help:"Seed of the random choices; 0 takes the process id." default:"0"`
+}
+
+func (c *nodeCmd) settings() node.Settings {
+	seed := c.Seed
+	if seed == 0 {
+		seed = uint64(os.Getpid())
+	}
+	settings := node.Settings{
+		Instance:    types.InstanceID(c.Instance),
+		Zone:        types.Zone(c.Zone),
+		Region:      types.Region(c.Region),
+		Listen:      types.Address(c.Listen),
+		PeerListen:  types.Address(c.PeerListen),
+		AdminListen: types.Address(c.AdminListen),
+		Advertise:   types.Address(c.Advertise),
+		MaxBody:     c.MaxBody,
+		StopLimit:   c.StopLimit,
+		Seed:        seed,
+	}
+	for _, peer := range c.Peer {
+		settings.Peers = append(settings.Peers, types.Address(peer))
+	}
+	return settings
+}
+
+// Run serves until the process is told to stop.
+func (c *nodeCmd) Run(out output) error {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(out.err))
+	logger = log.With(logger, "time", log.DefaultTimestampUTC, "instance", c.Instance)
+	store := plat.NewHTTP(c.Platform, plat.WithNamespace(c.Namespace))
+	nd, err := node.New(c.settings(), store, node.WithLogger(logger))
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return nd.Run(ctx)
+}
