Name the alternatives of each decision and remember former owners

Cause: the balance, the queue, the spread of configurations and hedges must be comparable with their baselines in one run, and an idempotency key can only be followed if the entry knows which upstreams took work when it was minted.

Change: typed policies chosen by flags of the node; a record's start time; a list of members that no longer take work with the time this was learned.

Ruled out: build tags for the baselines, since both sides must run together.

--- a/codec/peer.go
+++ b/codec/peer.go
@@ -72,6 +72,9 @@
 		Held:        uint64(member.Held),
 		Leaving:     member.Leaving,
 	}
+	if !member.Started.IsZero() {
+		wire.StartedMillis = member.Started.UnixMilli()
+	}
 	if upstream, ok := member.Upstream.Get(); ok {
 		wire.Upstream = &peerv1.Upstream{
 			Slots:         uint32(upstream.Slots),
@@ -103,6 +106,9 @@
 		Held:        types.Version(wire.GetHeld()),
 		Leaving:     wire.GetLeaving(),
 	}
+	if millis := wire.GetStartedMillis(); millis != 0 {
+		member.Started = time.UnixMilli(millis)
+	}
 	if upstream := wire.GetUpstream(); upstream != nil {
 		member.Upstream = types.Some(fleet.Upstream{
 			Slots:       int(upstream.GetSlots()),
--- a/core/state.go
+++ b/core/state.go
@@ -22,15 +22,16 @@
 	gate     *admit.Gate
 	calls    *flow.Table
 	upstream local
+	policies Policies
 	watching bool
 	stopping bool
 	drained  bool
 }
 
 type settings struct {
-	seed   uint64
-	policy route.Policy
-	gate   []admit.Option
+	seed     uint64
+	policies Policies
+	gate     []admit.Option
 }
 
 // Option changes a setting of a state.
@@ -41,9 +42,9 @@
 	return func(se *settings) { se.seed = seed }
 }
 
-// WithPolicy sets how upstreams are balanced.
-func WithPolicy(policy route.Policy) Option {
-	return func(se *settings) { se.policy = policy }
+// WithPolicies selects among the alternatives of each decision.
+func WithPolicies(policies Policies) Option {
+	return func(se *settings) { se.policies = policies }
 }
 
 // WithGate sets options of the gate of the local upstream.
@@ -53,15 +54,16 @@
 
 // New returns the state of a node that has just started.
 func New(self fleet.Member, opts ...Option) *State {
-	se := settings{policy: route.PeakEWMA()}
+	se := settings{policies: DefaultPolicies()}
 	for _, opt := range opts {
 		opt(&se)
 	}
 	st := &State{
-		fleet:   fleet.NewTable(self, rand.New(rand.NewPCG(se.seed, se.seed))),
-		conf:    conf.NewHolder(),
-		balance: route.NewBalance(se.policy),
-		gate:    admit.NewGate(se.gate...),
+		fleet:    fleet.NewTable(self, rand.New(rand.NewPCG(se.seed, se.seed))),
+		conf:     conf.NewHolder(),
+		balance:  route.NewBalance(se.policies.balance()),
+		gate:     admit.NewGate(se.gate...),
+		policies: se.policies,
 	}
 	st.calls = flow.NewTable(flow.Seams{Pick: st.pick, Began: st.balance.Began, Ended: st.balance.Ended})
 	return st
@@ -184,7 +186,7 @@
 }
 
 func (st *State) electDelegate() []types.Effect {
-	delegate := st.fleet.IsDelegate()
+	delegate := st.fleet.IsDelegate() || st.policies.Spread == SpreadWatch && !st.stopping
 	if delegate == st.watching {
 		return nil
 	}
--- a/fleet/delegate.go
+++ b/fleet/delegate.go
@@ -1,9 +1,7 @@
 package fleet
 
 import (
-	"cmp"
 	"hash/fnv"
-	"slices"
 )
 
 // delegatesPerZone is the number of nodes of a zone that watch the platform.
@@ -30,19 +28,3 @@
 	_, _ = hash.Write([]byte("delegate|" + string(member.Zone) + "|" + string(member.ID)))
 	return hash.Sum64()
 }
-
-// Owners returns the live members that own an upstream of a service, ordered
-// by instance.
-func (tb *Table) Owners(match func(Member) bool) []Member {
-	var owners []Member
-	for _, member := range tb.members {
-		if member.TakesWork() && match(member) {
-			owners = append(owners, member)
-		}
-	}
-	if tb.self.TakesWork() && match(tb.self) {
-		owners = append(owners, tb.self)
-	}
-	slices.SortFunc(owners, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	return owners
-}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -62,6 +62,8 @@
 	Region      types.Region
 	Service     types.ServiceName
 	Upstream    types.Option[Upstream]
+	// Started is when the node's process started, by its own clock.
+	Started time.Time
 	// Held is the highest configuration version that the node reported.
 	Held types.Version
 	// Leaving states that the node takes no new work.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -28,6 +28,7 @@
 	suspects map[types.InstanceID]time.Time
 	queue    map[types.InstanceID]int
 	seeds    map[types.Address]struct{}
+	former   map[types.InstanceID]Former
 	version  types.Version
 	digest   types.Hash
 	rand     *rand.Rand
@@ -44,6 +45,7 @@
 		suspects: map[types.InstanceID]time.Time{},
 		queue:    map[types.InstanceID]int{},
 		seeds:    map[types.Address]struct{}{},
+		former:   map[types.InstanceID]Former{},
 		rand:     source,
 	}
 	tb.enqueue(self.ID)
@@ -297,6 +299,10 @@
 func (tb *Table) store(member Member, now time.Time) []types.Effect {
 	old := tb.members[member.ID]
 	tb.members[member.ID] = member
+	same := member.TakesWork() && member.Started.Equal(old.Started)
+	if old.TakesWork() && !same {
+		tb.former[member.ID] = Former{Member: old, Until: now}
+	}
 	tb.enqueue(member.ID)
 	delete(tb.suspects, member.ID)
 	if member.Status == Suspect {
--- a/node/node.go
+++ b/node/node.go
@@ -117,8 +117,9 @@
 		Address:     nd.PeerAddress(),
 		Zone:        nd.settings.Zone,
 		Region:      nd.settings.Region,
+		Started:     started.Truncate(time.Millisecond),
 	}
-	options := append([]core.Option{core.WithSeed(nd.settings.Seed)}, nd.options...)
+	options := append([]core.Option{core.WithSeed(nd.settings.Seed), core.WithPolicies(nd.settings.Policies)}, nd.options...)
 	nd.loop = &loop{state: core.New(self, options...), now: nd.now, run: nd.run}
 	nd.peers = peer.NewClient(nd.clock, nd.now)
 	nd.owner = proxy.NewOwner(nd.loop.post, nd.load, nd.now, proxy.WithMaxBody(nd.settings.MaxBody))
--- a/node/settings.go
+++ b/node/settings.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"sequoiamill.example/sequoiamill/core"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/types"
 )
@@ -35,6 +36,7 @@
 	// StopLimit bounds a graceful stop.
 	StopLimit time.Duration
 	Seed      uint64
+	Policies  core.Policies
 }
 
 // Validate returns one error that names each fault of the settings.
@@ -61,6 +63,9 @@
 	if s.StopLimit <= 0 {
 		faults = append(faults, "stop-limit must be above 0")
 	}
+	if err := s.Policies.Validate(); err != nil {
+		faults = append(faults, fault.From(err).Message)
+	}
 	if len(faults) == 0 {
 		return nil
 	}
--- a/verbs/node.go
+++ b/verbs/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 
+	"sequoiamill.example/sequoiamill/core"
 	"sequoiamill.example/sequoiamill/node"
 	"sequoiamill.example/sequoiamill/plat"
 	"sequoiamill.example/sequoiamill/types"
@@ -28,6 +29,10 @@
 	MaxBody     int64         `help:"Greatest size of a request or an answer in bytes." default:"8388608"`
 	StopLimit   time.Duration `help:"Longest time of a graceful stop." default:"30s"`
 	Seed        uint64        `help:"Seed of the random choices; 0 takes the process id." default:"0"`
+	Balance     string        `help:"How upstreams are chosen: peak-ewma, least-outstanding or round-robin." default:"peak-ewma"`
+	Queue       string        `help:"How work is admitted: shed, fifo or none." default:"shed"`
+	Spread      string        `help:"How configurations spread: delegates or watch." default:"delegates"`
+	Hedge       bool          `help:"Allow second attempts on routes that ask for them." default:"true" negatable:""`
 }
 
 func (c *nodeCmd) settings() node.Settings {
@@ -46,6 +51,12 @@
 		MaxBody:     c.MaxBody,
 		StopLimit:   c.StopLimit,
 		Seed:        seed,
+		Policies: core.Policies{
+			Balance: core.BalanceKind(c.Balance),
+			Queue:   core.QueueKind(c.Queue),
+			Spread:  core.SpreadKind(c.Spread),
+			Hedge:   c.Hedge,
+		},
 	}
 	for _, peer := range c.Peer {
 		settings.Peers = append(settings.Peers, types.Address(peer))
