Validate routes, rules and hours in full and keep the version in force

A bad root not above the version in force replaced the remembered refusal, and a platform root that went back was not visible.

Change: conf refuses ambiguous matches, overlapping rules, unknown methods and malformed hosts, paths and spans, and names each fault. The holder ignores bad offers that are not above the current version, and keeps a platform root that went back or differs for the status until the root in force or a later version is read.

--- a/codec/file.go
+++ b/codec/file.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
+	"strings"
 
 	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
@@ -33,26 +35,34 @@
 	return text, errors.WithMessage(err, "encode configuration file")
 }
 
+// domain decodes the resources. The error names each fault of their fields.
 func (w fileWire) domain() (conf.Config, error) {
 	var config conf.Config
+	var faults faultList
 	for _, service := range w.Services {
 		config.Services = append(config.Services, conf.Service{Name: types.ServiceName(service.Name)})
 	}
 	for _, item := range w.Routes {
-		route, err := item.domain()
-		if err != nil {
-			return conf.Config{}, err
-		}
-		config.Routes = append(config.Routes, route)
+		config.Routes = append(config.Routes, item.domain(&faults))
 	}
 	for _, item := range w.UpstreamRules {
-		rule, err := item.domain()
-		if err != nil {
-			return conf.Config{}, err
-		}
-		config.Rules = append(config.Rules, rule)
+		config.Rules = append(config.Rules, item.domain(&faults))
 	}
-	return config, nil
+	return config, faults.err()
+}
+
+// faultList collects what is wrong with a configuration.
+type faultList struct{ reasons []string }
+
+func (fl *faultList) add(format string, args ...any) {
+	fl.reasons = append(fl.reasons, fmt.Sprintf(format, args...))
+}
+
+func (fl *faultList) err() error {
+	if len(fl.reasons) == 0 {
+		return nil
+	}
+	return fault.New(fault.ConfigRefused, "%s", strings.Join(fl.reasons, "; "))
 }
 
 func configToWire(config conf.Config) fileWire {
--- a/codec/hours.go
+++ b/codec/hours.go
@@ -10,40 +10,39 @@
 	"sequoiamill.example/sequoiamill/conf"
 )
 
-func (w hoursWire) domain() (conf.Hours, error) {
+func (w hoursWire) domain() (conf.Hours, []error) {
+	var problems []error
 	location, err := time.LoadLocation(w.TimeZone)
 	if err != nil || w.TimeZone == "" || w.TimeZone == "Local" {
-		return conf.Hours{}, errors.Errorf("time-zone %q is not known", w.TimeZone)
+		problems = append(problems, errors.Errorf("time-zone %q is not known", w.TimeZone))
 	}
 	hours := conf.Hours{TimeZone: w.TimeZone, Location: location}
-	for _, span := range w.Spans {
-		parsed, err := span.domain()
-		if err != nil {
-			return conf.Hours{}, err
-		}
-		hours.Spans = append(hours.Spans, parsed)
+	for _, item := range w.Spans {
+		span, faults := item.domain()
+		hours.Spans = append(hours.Spans, span)
+		problems = append(problems, faults...)
 	}
-	return hours, nil
+	return hours, problems
 }
 
-func (w spanWire) domain() (conf.Span, error) {
-	from, err := parseClock(w.From)
-	if err != nil {
-		return conf.Span{}, err
-	}
-	to, err := parseClock(w.To)
-	if err != nil {
-		return conf.Span{}, err
+func (w spanWire) domain() (conf.Span, []error) {
+	var problems []error
+	clock := func(text string) conf.Clock {
+		parsed, err := parseClock(text)
+		if err != nil {
+			problems = append(problems, err)
+		}
+		return parsed
 	}
-	span := conf.Span{From: from, To: to}
+	span := conf.Span{From: clock(w.From), To: clock(w.To)}
 	for _, name := range w.Days {
 		weekday, err := parseDay(name)
 		if err != nil {
-			return conf.Span{}, err
+			problems = append(problems, err)
 		}
 		span.Days = append(span.Days, weekday)
 	}
-	return span, nil
+	return span, problems
 }
 
 func hoursToWire(hours conf.Hours) *hoursWire {
--- a/codec/wire.go
+++ b/codec/wire.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"sequoiamill.example/sequoiamill/conf"
-	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -69,16 +68,16 @@
 	defaultImportance = conf.Normal
 )
 
-func (w routeWire) domain() (conf.Route, error) {
+func (w routeWire) domain(faults *faultList) conf.Route {
 	deadline, err := parseDuration(w.Deadline, defaultDeadline)
 	if err != nil {
-		return conf.Route{}, fault.New(fault.ConfigRefused, "route %q: deadline: %v", w.Name, err)
+		faults.add("route %q: deadline: %v", w.Name, err)
 	}
 	importance := defaultImportance
 	if w.Importance != "" {
 		known, ok := conf.ParseImportance(w.Importance)
 		if !ok {
-			return conf.Route{}, fault.New(fault.ConfigRefused, "route %q: importance %q is not low, normal, high or critical", w.Name, w.Importance)
+			faults.add("route %q: importance %q is not low, normal, high or critical", w.Name, w.Importance)
 		}
 		importance = known
 	}
@@ -90,7 +89,7 @@
 		Importance: importance,
 		Deadline:   deadline,
 		Hedge:      w.Hedge,
-	}, nil
+	}
 }
 
 func routeToWire(route conf.Route) routeWire {
@@ -105,10 +104,10 @@
 	}
 }
 
-func (w ruleWire) domain() (conf.UpstreamRule, error) {
+func (w ruleWire) domain(faults *faultList) conf.UpstreamRule {
 	warmUp, err := parseDuration(w.WarmUp, 0)
 	if err != nil {
-		return conf.UpstreamRule{}, fault.New(fault.ConfigRefused, "upstream-rule %q: warm-up: %v", w.Name, err)
+		faults.add("upstream-rule %q: warm-up: %v", w.Name, err)
 	}
 	rule := conf.UpstreamRule{
 		Name:        types.RuleName(w.Name),
@@ -124,14 +123,14 @@
 	}
 	rule.Zones = types.NewSet(zones...)
 	if w.Hours == nil {
-		return rule, nil
+		return rule
 	}
-	hours, err := w.Hours.domain()
-	if err != nil {
-		return conf.UpstreamRule{}, fault.New(fault.ConfigRefused, "upstream-rule %q: %v", w.Name, err)
+	hours, problems := w.Hours.domain()
+	for _, problem := range problems {
+		faults.add("upstream-rule %q: %v", w.Name, problem)
 	}
 	rule.Hours = types.Some(hours)
-	return rule, nil
+	return rule
 }
 
 func ruleToWire(rule conf.UpstreamRule) ruleWire {
--- a/conf/holder.go
+++ b/conf/holder.go
@@ -11,9 +11,14 @@
 // arrived from the platform or from a peer.
 type Offered struct {
 	Snapshot Snapshot
-	// Version is the version asked for.
+	// Version is the version asked for, or 0 if it could not be read. The
+	// version of a snapshot goes before it.
 	Version types.Version
-	Err     *fault.Error
+	// Digest is the hash of the root, if there is no snapshot.
+	Digest types.Hash
+	// Platform states that the root is the one that the platform holds now.
+	Platform bool
+	Err      *fault.Error
 }
 
 // Event marks the type as an event.
@@ -65,24 +70,52 @@
 }
 
 // Offer takes a snapshot if its version is above the current one and not
-// below the floor.
+// below the floor. An offer that is not above the current version changes
+// nothing in force. If it comes from the platform and differs from what is in
+// force, it is kept for the status, as is every bad offer above the current
+// version. The next version taken clears it.
 func (h *Holder) Offer(offer Offered, now time.Time) []types.Effect {
-	if offer.Err != nil {
-		return h.refuse(offer)
+	if offer.Err == nil && offer.Snapshot.Version() != 0 {
+		offer.Version, offer.Digest = offer.Snapshot.Version(), offer.Snapshot.Digest()
 	}
-	version := offer.Snapshot.Version()
-	if version <= h.current.Version() || version < h.floor {
+	switch {
+	case offer.Version != 0 && offer.Version <= h.current.Version():
+		return h.compare(offer)
+	case offer.Err != nil:
+		return h.refuse(offer)
+	case offer.Snapshot.Version() == 0:
 		return nil
+	case offer.Version < h.floor:
+		return h.compare(offer)
 	}
 	h.current = offer.Snapshot
-	h.floor = version
+	h.floor = offer.Version
 	h.since = now
-	if h.refused.Version <= version {
+	if h.refused.Version <= offer.Version {
 		h.refused = Refused{}
 	}
 	return []types.Effect{Adopted{Snapshot: offer.Snapshot}}
 }
 
+func (o Offered) with(format string, args ...any) Offered {
+	o.Err = fault.New(fault.ConfigRefused, format, args...)
+	return o
+}
+
+// compare judges an offer of a version that is not above the one in force.
+func (h *Holder) compare(offer Offered) []types.Effect {
+	switch {
+	case !offer.Platform:
+		return nil
+	case offer.Version < h.floor:
+		return h.refuse(offer.with("the platform's root went back from version %d to %d", h.floor, offer.Version))
+	case offer.Digest != h.current.Digest():
+		return h.refuse(offer.with("the platform's root of version %d differs from the one in force", offer.Version))
+	}
+	h.refused = Refused{}
+	return nil
+}
+
 func (h *Holder) refuse(offer Offered) []types.Effect {
 	if offer.Err.Kind != fault.ConfigRefused {
 		return nil
--- a/conf/valid.go
+++ b/conf/valid.go
@@ -2,6 +2,8 @@
 
 import (
 	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -10,11 +12,18 @@
 )
 
 const (
-	maxDeadline = 10 * time.Minute
-	maxSlots    = 100_000
+	maxDeadline   = 10 * time.Minute
+	maxSlots      = 100_000
+	maxPathPrefix = 1024
+	maxSpans      = 64
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	hostPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?(:[0-9]{1,5})?$`)
+	pathPattern = regexp.MustCompile(`^/[!-~]*$`)
+	methods     = types.NewSet("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE")
+)
 
 // Validate returns one error that names each fault of a configuration.
 func Validate(config Config) error {
@@ -22,11 +31,13 @@
 	for _, service := range config.Services {
 		check.service(service)
 	}
-	for _, route := range config.Routes {
+	for number, route := range config.Routes {
 		check.route(route)
+		check.ambiguous(route, config.Routes[:number])
 	}
-	for _, rule := range config.Rules {
+	for number, rule := range config.Rules {
 		check.rule(rule)
+		check.overlap(rule, config.Rules[:number])
 	}
 	return check.err()
 }
@@ -46,16 +57,16 @@
 
 func (c *checker) name(key Key) {
 	if !namePattern.MatchString(key.Name) {
-		c.faults = append(c.faults, key.Kind.String()+" "+quote(key.Name)+": name is not kebab case of at most 63 characters")
+		c.fault(key, "name is not kebab case of at most 63 characters")
 	}
 	if c.seen[key] {
-		c.faults = append(c.faults, key.Kind.String()+" "+quote(key.Name)+": declared twice")
+		c.fault(key, "declared twice")
 	}
 	c.seen[key] = true
 }
 
 func (c *checker) fault(key Key, reason string) {
-	c.faults = append(c.faults, key.Kind.String()+" "+quote(key.Name)+": "+reason)
+	c.faults = append(c.faults, key.Kind.String()+" "+strconv.Quote(key.Name)+": "+reason)
 }
 
 func (c *checker) service(service Service) {
@@ -65,7 +76,7 @@
 
 func (c *checker) reference(key Key, service types.ServiceName) {
 	if !c.services[service] {
-		c.fault(key, "service "+quote(string(service))+" is not declared")
+		c.fault(key, "service "+strconv.Quote(string(service))+" is not declared")
 	}
 }
 
@@ -73,9 +84,7 @@
 	key := Key{RouteKind, string(route.Name)}
 	c.name(key)
 	c.reference(key, route.Service)
-	if route.Match.PathPrefix != "" && !strings.HasPrefix(route.Match.PathPrefix, "/") {
-		c.fault(key, "path-prefix must start with a slash")
-	}
+	c.match(key, route.Match)
 	if route.Deadline <= 0 || route.Deadline > maxDeadline {
 		c.fault(key, "deadline must be above 0 and at most "+maxDeadline.String())
 	}
@@ -87,12 +96,53 @@
 	}
 }
 
+func (c *checker) match(key Key, match Match) {
+	if match.Host != "" && !hostPattern.MatchString(match.Host) {
+		c.fault(key, "host "+strconv.Quote(match.Host)+" is not a lower-case host name")
+	}
+	switch prefix := match.PathPrefix; {
+	case prefix != "" && !strings.HasPrefix(prefix, "/"):
+		c.fault(key, "path-prefix must start with a slash")
+	case prefix != "" && !pathPattern.MatchString(prefix), strings.ContainsAny(prefix, "?#"), len(prefix) > maxPathPrefix:
+		c.fault(key, "path-prefix must be a path of printable characters, at most "+strconv.Itoa(maxPathPrefix))
+	}
+	for _, method := range match.Methods.Sorted() {
+		if !methods.Has(method) {
+			c.fault(key, "method "+strconv.Quote(method)+" is not one of "+strings.Join(methods.Sorted(), ", "))
+		}
+	}
+}
+
+// ambiguous finds earlier routes that match a request equally well.
+func (c *checker) ambiguous(route Route, earlier []Route) {
+	for _, other := range earlier {
+		if other.Match.Host == route.Match.Host && other.Match.PathPrefix == route.Match.PathPrefix &&
+			sameRank(route.Match.Methods, other.Match.Methods) {
+			c.fault(Key{RouteKind, string(route.Name)}, "matches the same requests as route "+strconv.Quote(string(other.Name)))
+		}
+	}
+}
+
+// sameRank reports whether two sets of methods leave open which one decides. A
+// route with methods goes before one without.
+func sameRank(a, b types.Set[string]) bool {
+	if a.Len() == 0 || b.Len() == 0 {
+		return a.Len() == b.Len()
+	}
+	return slices.ContainsFunc(a.Sorted(), b.Has)
+}
+
 func (c *checker) rule(rule UpstreamRule) {
 	key := Key{UpstreamRuleKind, string(rule.Name)}
 	c.name(key)
 	c.reference(key, rule.Service)
+	for _, zone := range rule.Zones.Sorted() {
+		if zone == "" {
+			c.fault(key, "a zone has no name")
+		}
+	}
 	if rule.Slots < 0 || rule.Slots > maxSlots || rule.Connections < 0 || rule.Connections > maxSlots {
-		c.fault(key, "slots and connections must be from 0 to 100000")
+		c.fault(key, "slots and connections must be from 0 to "+strconv.Itoa(maxSlots))
 	}
 	if rule.WarmUp < 0 || rule.WarmUp > maxDeadline {
 		c.fault(key, "warm-up must be from 0 to "+maxDeadline.String())
@@ -102,20 +152,41 @@
 	}
 }
 
+// overlap finds earlier rules that cover an upstream of the same service.
+func (c *checker) overlap(rule UpstreamRule, earlier []UpstreamRule) {
+	for _, other := range earlier {
+		if other.Service != rule.Service {
+			continue
+		}
+		if rule.Zones.Len() == 0 || other.Zones.Len() == 0 || slices.ContainsFunc(rule.Zones.Sorted(), other.Zones.Has) {
+			c.fault(Key{UpstreamRuleKind, string(rule.Name)}, "covers a zone of service "+strconv.Quote(string(rule.Service))+
+				" that upstream-rule "+strconv.Quote(string(other.Name))+" covers")
+		}
+	}
+}
+
 func (c *checker) hours(key Key, hours Hours) {
 	if hours.Location == nil {
-		c.fault(key, "time-zone "+quote(hours.TimeZone)+" is not known")
+		c.fault(key, "time-zone "+strconv.Quote(hours.TimeZone)+" is not known")
 	}
-	if len(hours.Spans) == 0 {
-		c.fault(key, "hours need at least one span")
+	if len(hours.Spans) == 0 || len(hours.Spans) > maxSpans {
+		c.fault(key, "hours need from 1 to "+strconv.Itoa(maxSpans)+" spans")
 	}
 	for _, span := range hours.Spans {
-		if span.From < 0 || span.To < 0 || time.Duration(span.From) > day || time.Duration(span.To) > day {
-			c.fault(key, "a span must lie between 00:00 and 24:00")
-		}
+		c.span(key, span)
 	}
 }
 
-const day = 24 * time.Hour
-
-func quote(text string) string { return `"` + text + `"` }
+func (c *checker) span(key Key, span Span) {
+	if span.From < 0 || span.To < 0 || time.Duration(span.From) >= day || time.Duration(span.To) > day {
+		c.fault(key, "a span must start between 00:00 and 23:59 and end between 00:00 and 24:00")
+	}
+	if span.From%Clock(time.Minute) != 0 || span.To%Clock(time.Minute) != 0 {
+		c.fault(key, "a span must start and end on a full minute")
+	}
+	days := slices.Clone(span.Days)
+	slices.Sort(days)
+	if len(slices.Compact(days)) != len(span.Days) {
+		c.fault(key, "a span names a day twice")
+	}
+}
--- a/node/platform.go
+++ b/node/platform.go
@@ -64,21 +64,25 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
+	offer := conf.Offered{Digest: codec.HashOf(object.Body), Platform: true}
 	root, err := codec.ReadRoot(object.Body)
-	if err == nil && root.Version <= nd.view().Version {
-		return
-	}
-	var bundle conf.Bundle
-	if err == nil {
-		bundle, err = admin.FetchBundle(ctx, nd.store, object.Body, nd.bundle())
+	offer.Version = root.Version
+	if err == nil && root.Version > nd.view().Version {
+		offer.Snapshot, err = nd.fetch(ctx, object)
 	}
+	offer.Err = fault.From(err)
+	nd.loop.post(offer)
+}
+
+func (nd *Node) fetch(ctx context.Context, object plat.Object) (conf.Snapshot, error) {
+	bundle, err := admin.FetchBundle(ctx, nd.store, object.Body, nd.bundle())
 	if err != nil {
-		nd.loop.post(conf.Offered{Version: root.Version, Err: fault.From(err)})
-		return
+		return conf.Snapshot{}, err
 	}
-	nd.offer(bundle, root.Version)
+	return codec.Open(bundle)
 }
 
+// offer passes a peer's configuration to the reducer.
 func (nd *Node) offer(bundle conf.Bundle, version types.Version) {
 	snap, err := codec.Open(bundle)
 	nd.loop.post(conf.Offered{Snapshot: snap, Version: version, Err: fault.From(err)})
