Tell refused platform calls from lost ones and reopen silent watches

Cause: a call beyond the platform's rate had no wait, a write that surely did not run looked like one whose answer was lost, and a watch on a connection that went silent stayed open for good.

The stand-in limits and counts calls per second, mutes open watches, expires revisions, loses the answers of one kind of object and takes raw objects.

Ruled out: bookmarks as the only heartbeat, since a platform need not send them.

--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -8,7 +8,9 @@
 package fakes
 
 import (
+	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,44 +29,57 @@
 	DelayMillis int `json:"delay-millis"`
 	// LoseAnswers is the number of writes that take effect without an answer.
 	LoseAnswers int `json:"lose-answers"`
-	// MuteWatches keeps watches open without sending anything.
+	// LoseKind limits the lost answers to writes of one kind of object.
+	LoseKind plat.Kind `json:"lose-kind"`
+	// MuteWatches keeps the watches that are open now from sending anything.
 	MuteWatches bool `json:"mute-watches"`
-}
-
-// Counts are the calls that a platform stand-in took.
-type Counts struct {
-	Reads   int64 `json:"reads"`
-	Writes  int64 `json:"writes"`
-	Watches int64 `json:"watches"`
+	// ExpireWatches is the number of watches whose revision is called expired.
+	ExpireWatches int `json:"expire-watches"`
+	// ReadLimit and WriteLimit are the calls allowed in one second; 0 means
+	// no limit.
+	ReadLimit  int64 `json:"read-limit"`
+	WriteLimit int64 `json:"write-limit"`
 }
 
 // Platform is a stand-in for the object API over HTTP.
 type Platform struct {
-	memory  *plat.Memory
-	faults  atomic.Pointer[Faults]
-	lose    atomic.Int64
-	reads   atomic.Int64
-	writes  atomic.Int64
-	watches atomic.Int64
+	memory *plat.Memory
+	now    func() time.Time
+	faults atomic.Pointer[Faults]
+	lose   atomic.Int64
+	expire atomic.Int64
+	muted  atomic.Int64
+	calls  callMeter
 }
 
 // NewPlatform returns an empty platform without faults.
 func NewPlatform() *Platform {
-	pf := &Platform{memory: plat.NewMemory()}
+	pf := &Platform{memory: plat.NewMemory(), now: time.Now}
 	pf.SetFaults(Faults{})
 	return pf
 }
 
+// WithNow returns the platform with another source of the present time.
+func (pf *Platform) WithNow(now func() time.Time) *Platform {
+	pf.now = now
+	return pf
+}
+
+// Store returns direct access to the objects, without faults and counts.
+func (pf *Platform) Store() *plat.Store { return pf.memory.Store() }
+
 // SetFaults changes the failures from now on.
 func (pf *Platform) SetFaults(faults Faults) {
 	pf.faults.Store(&faults)
 	pf.lose.Store(int64(faults.LoseAnswers))
+	pf.expire.Store(int64(faults.ExpireWatches))
+	if faults.MuteWatches {
+		pf.muted.Store(pf.Counts().Watches)
+	}
 }
 
 // Counts returns the calls so far.
-func (pf *Platform) Counts() Counts {
-	return Counts{Reads: pf.reads.Load(), Writes: pf.writes.Load(), Watches: pf.watches.Load()}
-}
+func (pf *Platform) Counts() Counts { return pf.calls.read() }
 
 // ServeHTTP serves the object API, and /faults and /counts for tests.
 func (pf *Platform) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
@@ -78,14 +93,46 @@
 		pf.SetFaults(faults)
 	case "/counts":
 		writeJSON(writer, pf.Counts())
+	case "/raw":
+		pf.serveRaw(writer, request)
 	default:
 		pf.serveObjects(writer, request)
 	}
 }
 
+// serveRaw writes an object whatever its revision.
+func (pf *Platform) serveRaw(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	query := request.URL.Query()
+	name := plat.Name{Kind: plat.Kind(query.Get("kind")), Name: query.Get("name")}
+	pf.PutRaw(name, body)
+}
+
+// PutRaw writes an object whatever its revision; a nil body deletes it.
+func (pf *Platform) PutRaw(name plat.Name, body []byte) {
+	ctx := context.Background()
+	object, err := pf.memory.Get(ctx, name)
+	if err != nil {
+		object = plat.Object{Name: name}
+	}
+	if body == nil {
+		_ = pf.memory.Delete(ctx, object)
+		return
+	}
+	_, _ = pf.memory.Put(ctx, object.WithBody(body))
+}
+
 func (pf *Platform) serveObjects(writer http.ResponseWriter, request *http.Request) {
 	faults := pf.faults.Load()
-	time.Sleep(time.Duration(faults.DelayMillis) * time.Millisecond)
+	select {
+	case <-request.Context().Done():
+		return
+	case <-time.After(time.Duration(faults.DelayMillis) * time.Millisecond):
+	}
 	if faults.Down {
 		http.Error(writer, "down", http.StatusServiceUnavailable)
 		return
@@ -100,19 +147,22 @@
 	if len(parts) > prefix+1 {
 		name.Name = parts[prefix+1]
 	}
+	write := request.Method != http.MethodGet
+	if pf.calls.add(write, pf.now(), faults) {
+		writer.Header().Set("Retry-After", "2")
+		http.Error(writer, "too many calls", http.StatusTooManyRequests)
+		return
+	}
 	pf.serve(writer, request, name)
 }
 
 func (pf *Platform) serve(writer http.ResponseWriter, request *http.Request, name plat.Name) {
 	switch request.Method {
 	case http.MethodGet:
-		pf.reads.Add(1)
 		pf.read(writer, request, name)
 	case http.MethodPost, http.MethodPut:
-		pf.writes.Add(1)
 		pf.put(writer, request, name)
 	case http.MethodDelete:
-		pf.writes.Add(1)
 		pf.delete(writer, request, name)
 	default:
 		http.Error(writer, "method", http.StatusMethodNotAllowed)
@@ -158,7 +208,8 @@
 		writeError(writer, err)
 		return
 	}
-	if pf.lose.Add(-1) >= 0 {
+	kind := pf.faults.Load().LoseKind
+	if (kind == "" || kind == name.Kind) && pf.lose.Add(-1) >= 0 {
 		panic(http.ErrAbortHandler)
 	}
 	writeJSON(writer, wireOf(object))
@@ -180,22 +231,54 @@
 	writeJSON(writer, struct{}{})
 }
 
+// watch serves one watch until the time that the request names. A muted watch sends nothing and never ends by itself.
 func (pf *Platform) watch(writer http.ResponseWriter, request *http.Request, name plat.Name) {
-	pf.watches.Add(1)
-	since, _ := strconv.ParseUint(request.URL.Query().Get("resourceVersion"), 10, 64)
-	flusher := http.NewResponseController(writer)
-	writer.WriteHeader(http.StatusOK)
-	_ = flusher.Flush()
-	_ = pf.memory.Watch(request.Context(), name, func(object plat.Object) {
+	if pf.expired(writer) {
+		return
+	}
+	number := pf.calls.watch()
+	query := request.URL.Query()
+	since, _ := strconv.ParseUint(query.Get("resourceVersion"), 10, 64)
+	seconds, _ := strconv.Atoi(query.Get("timeoutSeconds"))
+	ctx, cancel := context.WithCancel(request.Context())
+	defer cancel()
+	if seconds > 0 {
+		end := time.AfterFunc(time.Duration(seconds)*time.Second, func() {
+			if number > pf.muted.Load() {
+				cancel()
+			}
+		})
+		defer end.Stop()
+	}
+	controller := http.NewResponseController(writer)
+	bookmark := plat.ObjectWire{Metadata: plat.MetadataWire{ResourceVersion: query.Get("resourceVersion")}}
+	writeJSON(writer, plat.WatchWire{Type: "BOOKMARK", Object: bookmark})
+	_ = controller.Flush()
+	_ = pf.memory.Watch(ctx, name, func(object plat.Object) {
 		revision, _ := strconv.ParseUint(string(object.Revision), 10, 64)
-		if revision <= since || pf.faults.Load().MuteWatches {
+		if revision <= since || number <= pf.muted.Load() {
 			return
 		}
 		_ = json.NewEncoder(writer).Encode(plat.WatchWire{Type: "MODIFIED", Object: wireOf(object)})
-		_ = flusher.Flush()
+		_ = controller.Flush()
 	})
 }
 
+// expired calls the revision of a watch expired, in turn by the status of the
+// answer and by an event.
+func (pf *Platform) expired(writer http.ResponseWriter) bool {
+	left := pf.expire.Add(-1)
+	switch {
+	case left < 0:
+		return false
+	case left%2 == 1:
+		http.Error(writer, "too old resource version", http.StatusGone)
+	default:
+		writeJSON(writer, plat.WatchWire{Type: "ERROR", Object: plat.ObjectWire{Code: http.StatusGone}})
+	}
+	return true
+}
+
 func wireOf(object plat.Object) plat.ObjectWire {
 	return plat.ObjectWire{
 		Kind:     string(object.Name.Kind),
--- a/plat/http.go
+++ b/plat/http.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +22,8 @@
 	defaultNamespace = "default"
 	defaultTimeout   = 2 * time.Second
 	maxReply         = 64 << 20
+	// defaultRetryAfter is the wait when the platform names none.
+	defaultRetryAfter = time.Second
 )
 
 // Option changes a setting of an HTTP client.
@@ -35,49 +39,35 @@
 	return func(cl *client) { cl.timeout = limit }
 }
 
+// WithWatchTimeout sets after what time a watch is asked to end. A watch that
+// stays silent for this long and a margin is dropped and opened again.
+func WithWatchTimeout(limit time.Duration) Option {
+	return func(cl *client) { cl.watchTimeout = limit }
+}
+
 type client struct {
-	base      string
-	namespace string
-	timeout   time.Duration
-	http      *http.Client
+	base         string
+	namespace    string
+	timeout      time.Duration
+	watchTimeout time.Duration
+	http         *http.Client
 }
 
 // NewHTTP returns a store that speaks the object API at a base URL.
 func NewHTTP(base string, opts ...Option) *Store {
-	cl := &client{base: base, namespace: defaultNamespace, timeout: defaultTimeout, http: &http.Client{Transport: &http.Transport{}}}
+	cl := &client{
+		base:         base,
+		namespace:    defaultNamespace,
+		timeout:      defaultTimeout,
+		watchTimeout: defaultWatchTimeout,
+		http:         &http.Client{Transport: &http.Transport{}},
+	}
 	for _, opt := range opts {
 		opt(cl)
 	}
 	return &Store{Get: cl.get, List: cl.list, Put: cl.put, Delete: cl.delete, Watch: cl.watch}
 }
 
-// ObjectWire is the JSON form of an object.
-type ObjectWire struct {
-	APIVersion string       `json:"apiVersion"`
-	Kind       string       `json:"kind"`
-	Metadata   MetadataWire `json:"metadata"`
-	Data       []byte       `json:"data,omitempty"`
-}
-
-// MetadataWire is the JSON form of an object's metadata.
-type MetadataWire struct {
-	Name            string `json:"name"`
-	Namespace       string `json:"namespace,omitempty"`
-	ResourceVersion string `json:"resourceVersion,omitempty"`
-}
-
-// ListWire is the JSON form of a list of objects.
-type ListWire struct {
-	Metadata MetadataWire `json:"metadata"`
-	Items    []ObjectWire `json:"items"`
-}
-
-// WatchWire is the JSON form of one line of a watch.
-type WatchWire struct {
-	Type   string     `json:"type"`
-	Object ObjectWire `json:"object"`
-}
-
 func (cl *client) path(kind Kind, name string) string {
 	path := cl.base + "/apis/" + apiGroup + "/" + apiVersion + "/namespaces/" + url.PathEscape(cl.namespace) + "/" + string(kind)
 	if name != "" {
@@ -134,10 +124,6 @@
 	}
 }
 
-func (w ObjectWire) object(kind Kind) Object {
-	return Object{Name: Name{Kind: kind, Name: w.Metadata.Name}, Revision: Revision(w.Metadata.ResourceVersion), Body: w.Data}
-}
-
 func (cl *client) call(ctx context.Context, method, path string, input, output any) error {
 	ctx, cancel := context.WithTimeout(ctx, cl.timeout)
 	defer cancel()
@@ -147,14 +133,14 @@
 	}
 	defer func() { _ = reply.Body.Close() }()
 	if reply.StatusCode >= http.StatusMultipleChoices {
-		return statusError(reply, path)
+		return statusError(reply, method, path)
 	}
 	if output == nil {
 		return nil
 	}
 	err = json.NewDecoder(io.LimitReader(reply.Body, maxReply)).Decode(output)
 	if err != nil {
-		return fault.Wrap(fault.PlatformUnavailable, err, "decode the platform's reply")
+		return fault.Wrap(fault.PlatformUnavailable, err, "decode the platform's reply").WithOutcome(outcomeOf(method))
 	}
 	return nil
 }
@@ -175,54 +161,51 @@
 	request.Header.Set("Content-Type", "application/json")
 	reply, err := cl.http.Do(request)
 	if err != nil {
-		return nil, fault.Wrap(fault.PlatformUnavailable, err, "call the platform")
+		cl.http.CloseIdleConnections()
+		return nil, sendError(err, method)
 	}
 	return reply, nil
 }
 
-func statusError(reply *http.Response, path string) error {
-	kinds := map[int]fault.Kind{
-		http.StatusNotFound:              fault.NotFound,
-		http.StatusConflict:              fault.VersionConflict,
-		http.StatusRequestEntityTooLarge: fault.TooLarge,
-		http.StatusBadRequest:            fault.InvalidInput,
-	}
-	kind, ok := kinds[reply.StatusCode]
-	if !ok {
-		kind = fault.PlatformUnavailable
+func sendError(err error, method string) *fault.Error {
+	failed := fault.Wrap(fault.PlatformUnavailable, err, "call the platform").WithRetryAfter(defaultRetryAfter)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return failed
 	}
-	return fault.New(kind, "the platform answered %s for %s", reply.Status, path)
+	return failed.WithOutcome(outcomeOf(method))
 }
 
-func (cl *client) watch(ctx context.Context, name Name, seen func(Object)) error {
-	object, err := cl.get(ctx, name)
-	if err != nil && !fault.Is(err, fault.NotFound) {
-		return err
-	}
-	if err == nil {
-		seen(object)
-	}
-	query := url.Values{"watch": {"true"}, "resourceVersion": {string(object.Revision)}, "fieldSelector": {"metadata.name=" + name.Name}}
-	reply, err := cl.send(ctx, http.MethodGet, cl.path(name.Kind, "")+"?"+query.Encode(), nil)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = reply.Body.Close() }()
-	if reply.StatusCode != http.StatusOK {
-		return statusError(reply, string(name.Kind))
+// outcomeOf returns what is known of a call that was sent and not answered.
+func outcomeOf(method string) fault.Outcome {
+	if method == http.MethodGet {
+		return fault.NotRun
 	}
-	return readWatch(reply.Body, name, seen)
+	return fault.Unknown
 }
 
-func readWatch(body io.Reader, name Name, seen func(Object)) error {
-	decoder := json.NewDecoder(body)
-	for {
-		var line WatchWire
-		if err := decoder.Decode(&line); err != nil {
-			return fault.Wrap(fault.PlatformUnavailable, err, "read watch")
-		}
-		if line.Type == "ADDED" || line.Type == "MODIFIED" {
-			seen(line.Object.object(name.Kind))
-		}
+var statusKinds = map[int]fault.Kind{
+	http.StatusNotFound:              fault.NotFound,
+	http.StatusConflict:              fault.VersionConflict,
+	http.StatusRequestEntityTooLarge: fault.TooLarge,
+	http.StatusBadRequest:            fault.InvalidInput,
+}
+
+// statusError maps an answer to an error. Every other status than the listed
+// ones is PlatformUnavailable. A call that the platform asks to repeat later
+// did not run.
+func statusError(reply *http.Response, method, path string) *fault.Error {
+	text := "the platform answered " + reply.Status + " for " + path
+	if kind, ok := statusKinds[reply.StatusCode]; ok {
+		return fault.New(kind, "%s", text)
+	}
+	failed := fault.New(fault.PlatformUnavailable, "%s", text).WithRetryAfter(defaultRetryAfter)
+	seconds, err := strconv.ParseUint(reply.Header.Get("Retry-After"), 10, 16)
+	if err == nil && seconds > 0 {
+		failed = failed.WithRetryAfter(time.Duration(seconds) * time.Second)
+	}
+	if err == nil || reply.StatusCode == http.StatusTooManyRequests {
+		return failed
 	}
+	return failed.WithOutcome(outcomeOf(method))
 }
--- a/plat/store.go
+++ b/plat/store.go
@@ -50,7 +50,8 @@
 
 // Store is the platform's object API. Errors are of the kinds NotFound,
 // VersionConflict, TooLarge, InvalidInput and PlatformUnavailable. A write
-// that ends in PlatformUnavailable may have taken effect.
+// that ends in PlatformUnavailable may have taken effect if the error's outcome
+// is Unknown.
 type Store struct {
 	// Get reads one object.
 	Get func(ctx context.Context, name Name) (Object, error)
@@ -62,6 +63,7 @@
 	// Delete removes an object if its revision is the current one.
 	Delete func(ctx context.Context, object Object) error
 	// Watch calls seen with the object's state now and after each change,
-	// until the context ends or the watch breaks.
+	// until the context ends or the platform can't be reached. A watch that
+	// falls silent is opened again.
 	Watch func(ctx context.Context, name Name, seen func(Object)) error
 }
--- /dev/null
+++ b/plat/wire.go
@@ -0,0 +1,34 @@
+package plat
+
+// ObjectWire is the JSON form of an object.
+type ObjectWire struct {
+	APIVersion string       `json:"apiVersion"`
+	Kind       string       `json:"kind"`
+	Metadata   MetadataWire `json:"metadata"`
+	Data       []byte       `json:"data,omitempty"`
+	// Code is the HTTP status of an object that reports an error.
+	Code int `json:"code,omitempty"`
+}
+
+// MetadataWire is the JSON form of an object's metadata.
+type MetadataWire struct {
+	Name            string `json:"name"`
+	Namespace       string `json:"namespace,omitempty"`
+	ResourceVersion string `json:"resourceVersion,omitempty"`
+}
+
+// ListWire is the JSON form of a list of objects.
+type ListWire struct {
+	Metadata MetadataWire `json:"metadata"`
+	Items    []ObjectWire `json:"items"`
+}
+
+// WatchWire is the JSON form of one line of a watch.
+type WatchWire struct {
+	Type   string     `json:"type"`
+	Object ObjectWire `json:"object"`
+}
+
+func (w ObjectWire) object(kind Kind) Object {
+	return Object{Name: Name{Kind: kind, Name: w.Metadata.Name}, Revision: Revision(w.Metadata.ResourceVersion), Body: w.Data}
+}
