Show a small mesh in one process

Cause: a newcomer had no way to see the path without a platform.

Change: the demo verb with three nodes, an embedded platform and sample upstreams; status and timeline print JSON of the published schema; each verb has an example in its help.

Ruled out: starting the demo's nodes as processes, since a node must not need another program to be shown.

--- /dev/null
+++ b/demo/mesh.go
@@ -0,0 +1,163 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiamill.example/sequoiamill/core"
+	"sequoiamill.example/sequoiamill/node"
+	"sequoiamill.example/sequoiamill/plat"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+const (
+	anyPort   = "127.0.0.1:0"
+	maxBody   = 1 << 20
+	stopLimit = 5 * time.Second
+)
+
+// fleet is a set of nodes in one process.
+type fleet struct {
+	nodes []*member
+	group sync.WaitGroup
+	mu    sync.Mutex
+	err   error
+}
+
+type member struct {
+	name     string
+	node     *node.Node
+	upstream *upstream
+}
+
+// place is where a member runs and whether it has an upstream.
+type place struct {
+	name     types.InstanceID
+	zone     types.Zone
+	upstream bool
+}
+
+var places = []place{
+	{name: "kolkata-1", zone: "kolkata", upstream: true},
+	{name: "howrah-1", zone: "howrah", upstream: true},
+	{name: "haldia-1", zone: "haldia"},
+}
+
+func startFleet(ctx context.Context) (*fleet, error) {
+	fl := &fleet{}
+	store := plat.NewMemory().Store()
+	for number, at := range places {
+		if err := fl.start(ctx, store, at, uint64(number)); err != nil {
+			return nil, err
+		}
+	}
+	return fl, nil
+}
+
+func (fl *fleet) start(ctx context.Context, store *plat.Store, at place, seed uint64) error {
+	nd, err := node.New(node.Settings{
+		Instance:    at.name,
+		Zone:        at.zone,
+		Region:      "bengal-west",
+		Listen:      anyPort,
+		PeerListen:  anyPort,
+		AdminListen: anyPort,
+		MaxBody:     maxBody,
+		StopLimit:   stopLimit,
+		Seed:        seed,
+		Policies:    core.DefaultPolicies(),
+	}, store)
+	if err != nil {
+		return err
+	}
+	mb := &member{name: string(at.name), node: nd}
+	fl.nodes = append(fl.nodes, mb)
+	fl.group.Go(func() { fl.keep(nd.Run(ctx)) })
+	if !at.upstream {
+		return nil
+	}
+	mb.upstream, err = startUpstream(ctx, mb.name, nd)
+	return err
+}
+
+func (fl *fleet) keep(err error) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if fl.err == nil {
+		fl.err = err
+	}
+}
+
+// wait returns when all nodes have stopped.
+func (fl *fleet) wait() error {
+	fl.group.Wait()
+	return fl.err
+}
+
+// upstream is a sample upstream that answers with its name.
+type upstream struct {
+	announcement core.Announcement
+	address      types.Address
+	node         *node.Node
+	mu           sync.Mutex
+}
+
+const (
+	announceInterval    = time.Second
+	sampleSlots         = 10
+	sampleConnections   = 130
+	sampleHeaderTimeout = 5 * time.Second
+)
+
+func startUpstream(ctx context.Context, name string, nd *node.Node) (*upstream, error) {
+	listener, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return nil, errors.WithMessage(err, "listen for the sample upstream")
+	}
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = fmt.Fprintf(writer, "%s answered by the upstream of %s\n", request.URL.Path, name)
+	})
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: sampleHeaderTimeout}
+	go func() { _ = server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Shutdown(context.Background()) })
+	up := &upstream{
+		announcement: core.Announcement{Service: "job-status", Slots: sampleSlots, Connections: sampleConnections},
+		address:      types.Address(listener.Addr().String()),
+		node:         nd,
+	}
+	go up.announce(ctx)
+	return up, nil
+}
+
+func (up *upstream) announce(ctx context.Context) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		up.tell()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (up *upstream) tell() {
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	up.node.Announce(up.address, up.announcement)
+}
+
+// leave announces that the upstream takes no new work.
+func (up *upstream) leave() {
+	up.mu.Lock()
+	up.announcement.Leaving = true
+	up.mu.Unlock()
+	up.tell()
+}
--- a/node/handler.go
+++ b/node/handler.go
@@ -112,17 +112,22 @@
 	if err := wire.validate(); err != nil {
 		return answerFault(ctx, fault.From(err))
 	}
-	nd.owner.SetUpstream(types.Address(wire.Address), wire.Connections)
-	nd.loop.post(core.UpstreamAnnounced{Announcement: core.Announcement{
+	nd.Announce(types.Address(wire.Address), core.Announcement{
 		Service:     types.ServiceName(wire.Service),
 		Slots:       wire.Slots,
 		Connections: wire.Connections,
 		WarmUp:      time.Duration(wire.WarmUpMillis) * time.Millisecond,
 		Leaving:     wire.Leaving,
-	}})
+	})
 	return ctx.NoContent(http.StatusNoContent)
 }
 
+// Announce tells the node about its local upstream.
+func (nd *Node) Announce(address types.Address, announcement core.Announcement) {
+	nd.owner.SetUpstream(address, announcement.Connections)
+	nd.loop.post(core.UpstreamAnnounced{Announcement: announcement})
+}
+
 func (w AnnouncementWire) validate() error {
 	if w.Service == "" {
 		return fault.New(fault.InvalidInput, "announcement: the service is missing")
--- /dev/null
+++ b/verbs/help.go
@@ -0,0 +1,70 @@
+package verbs
+
+// Help returns the details and an example of the command.
+func (c *nodeCmd) Help() string {
+	return `The upstream beside the node announces itself with a POST of JSON to
+/announce on the operator address, once a second or so, and again with
+"leaving" set before it stops. The node stops gracefully on SIGTERM.
+
+Example:
+
+    sequoiamill node --instance kol-1 --zone kolkata --platform http://127.0.0.1:8001`
+}
+
+// Help returns the details and an example of the command.
+func (c *checkCmd) Help() string {
+	return `Each fault is named; nothing is sent.
+
+Example:
+
+    sequoiamill check examples/board.yaml`
+}
+
+// Help returns the details and an example of the command.
+func (c *applyCmd) Help() string {
+	return `The change is accepted whole or not at all. If another change was
+accepted since the base version, the exit code is that of version-conflict. The
+same --change-id again gives the first result.
+
+Example:
+
+    sequoiamill apply --admin 127.0.0.1:8082 --wait examples/board.yaml`
+}
+
+// Help returns the details and an example of the command.
+func (c *getCmd) Help() string {
+	return `The output is a configuration file that apply takes.
+
+Example:
+
+    sequoiamill get --admin 127.0.0.1:8082`
+}
+
+// Help returns the details and an example of the command.
+func (c *statusCmd) Help() string {
+	return `Any node answers for the whole fleet.
+
+Example:
+
+    sequoiamill status --admin 127.0.0.1:8082 -o json`
+}
+
+// Help returns the details and an example of the command.
+func (c *timelineCmd) Help() string {
+	return `The events of all reachable nodes are merged by their hybrid logical
+clocks. Nodes that did not answer are named at the end.
+
+Example:
+
+    sequoiamill timeline --config 7 --since 10m`
+}
+
+// Help returns the details and an example of the command.
+func (c *demoCmd) Help() string {
+	return `The demo needs no other process, uses loopback addresses only and ends by
+itself.
+
+Example:
+
+    sequoiamill demo`
+}
--- a/verbs/status.go
+++ b/verbs/status.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"net/http"
-	"runtime/debug"
 	"text/tabwriter"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"sequoiamill.example/sequoiamill/api/opsv1"
@@ -20,12 +22,30 @@
 	Admin string `help:"Operator address of any node." default:"127.0.0.1:8082"`
 }
 
+// format is how a command prints its result.
+type format struct {
+	Output string `help:"Form of the output: text or json." enum:"text,json" default:"text" short:"o"`
+}
+
+func (f format) json() bool { return f.Output == "json" }
+
+// printJSON writes a message of the published schema with its field names.
+func printJSON(out output, message proto.Message) error {
+	text, err := protojson.MarshalOptions{Multiline: true, UseProtoNames: true, EmitUnpopulated: true}.Marshal(message)
+	if err != nil {
+		return errors.WithMessage(err, "encode output")
+	}
+	out.printf("%s\n", text)
+	return nil
+}
+
 func (c *connection) client() opsv1connect.OperatorClient {
 	return opsv1connect.NewOperatorClient(http.DefaultClient, "http://"+c.Admin)
 }
 
 type statusCmd struct {
 	connection
+	format
 }
 
 // Run prints the fleet.
@@ -34,6 +54,9 @@
 	if err != nil {
 		return codec.FaultFromRPC(err)
 	}
+	if c.json() {
+		return printJSON(out, response.Msg)
+	}
 	status := response.Msg
 	out.printf("version %d, floor %d, asked %s\n", status.GetVersion(), status.GetFloor(), status.GetInstance())
 	if status.GetRefusedRoot() != "" {
@@ -49,6 +72,7 @@
 
 type timelineCmd struct {
 	connection
+	format
 	Request  string        `help:"Only the events of this request."`
 	Config   uint64        `help:"Only the events of this configuration version."`
 	Instance string        `help:"Only the events on or about this instance."`
@@ -69,40 +93,14 @@
 	if err != nil {
 		return codec.FaultFromRPC(err)
 	}
+	if c.json() {
+		return printJSON(out, response.Msg)
+	}
 	for _, event := range response.Msg.GetEvents() {
-		out.printf("%s\n", formatEvent(event))
+		out.printf("%s\n", codec.FormatEvent(event))
 	}
 	for _, instance := range response.Msg.GetUnreachable() {
 		out.printf("not reached: %s\n", instance)
 	}
 	return nil
 }
-
-func formatEvent(event *opsv1.TimelineEvent) string {
-	line := fmt.Sprintf("%s %s %s", event.GetTime().AsTime().Format("15:04:05.000000"), event.GetInstance(), event.GetKind())
-	if event.GetVersion() != 0 {
-		line += fmt.Sprintf(" version=%d", event.GetVersion())
-	}
-	if event.GetRequestId() != "" {
-		line += " request=" + event.GetRequestId()
-	}
-	if event.GetSubject() != "" {
-		line += " subject=" + event.GetSubject()
-	}
-	if event.GetDetail() != "" {
-		line += fmt.Sprintf(" detail=%q", event.GetDetail())
-	}
-	return line
-}
-
-type versionCmd struct{}
-
-// Run prints the version of the program.
-func (c *versionCmd) Run(out output) error {
-	version := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		version = info.Main.Version
-	}
-	out.printf("sequoiamill %s\n", version)
-	return nil
-}
