Add a stand-in for a TCP link that cuts, delays and goes silent

Cause: Partitions and silent connections between processes could not be caused in a test.

Change: fakes.Link relays one address to another with the modes pass, delay, cut, silent and black-hole, for all connections or for those whose first bytes hold a text. The script command link runs it as a process controlled at /set.

Ruled out: firewall rules and containers, which tests may not use.

Conclusion: partition scenarios can be written.

--- a/script/script_test.go
+++ b/script/script_test.go
@@ -31,6 +31,7 @@
 		"load":        load,
 		"get":         get,
 		"eventually":  eventually,
+		"link":        link,
 	})
 }
 
@@ -96,6 +97,16 @@
 	serve(os.Args[1], fakes.NewPlatform())
 }
 
+// link relays a listen address to a target, controlled at a third address.
+func link() {
+	relay, err := fakes.NewLink(os.Args[1], os.Args[2])
+	if err != nil {
+		fail("%v", err)
+	}
+	defer relay.Close()
+	serve(os.Args[3], relay)
+}
+
 func upstream() {
 	name := flag.String("name", "", "name in the answers")
 	listen := flag.String("listen", "", "address")
