Give up on an owner whose connection is silent

Cause: a forwarded call on a connection that something between the two ends had lost track of waited for its whole deadline. The scenario silence-peer failed with 502 after the 60 s deadline of its route.

Change: an owner sends an interim response every 400 ms while a job runs; an entry that reads no byte for 2 s gives the attempt up and closes the idle connections, so that the next attempt dials.

Ruled out: TCP keep-alive alone, since the path may still acknowledge probes; a ping protocol of its own beside HTTP, since interim responses are published and every connection carries one call.

A silent connection costs one attempt 2 s.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/types"
 )
@@ -41,13 +44,23 @@
 
 // Do sends a job to its owner and returns how it ended.
 func (fw *Forwarder) Do(ctx context.Context, address types.Address, job Job) Reply {
+	dog, ctx, stop := newWatchdog(ctx, silenceLimit)
+	defer stop()
+	reply := fw.exchange(ctx, dog, address, job)
+	if errors.Is(context.Cause(ctx), errSilent) {
+		fw.client.CloseIdleConnections()
+	}
+	return reply
+}
+
+func (fw *Forwarder) exchange(ctx context.Context, dog *watchdog, address types.Address, job Job) Reply {
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(address)+ForwardPath, nil)
 	if err != nil {
 		return refusal(fault.Wrap(fault.Internal, err, "make the forwarded call"))
 	}
-	request.Body = onceBody{bytes.NewReader(job.Body)}
+	request.Body = onceBody{dog.reader(bytes.NewReader(job.Body))}
 	request.ContentLength = int64(len(job.Body))
 	request.GetBody = nil
 	request.Header = stripHopHeaders(job.Header)
@@ -57,12 +70,26 @@
 		return refusal(fault.Wrap(fault.Unreachable, err, "connect to the owner"))
 	}
 	if err != nil {
-		return lost(fault.Wrap(fault.Unreachable, err, "wait for the owner"))
+		return lost(fault.Wrap(fault.Unreachable, causeOf(ctx, err), "wait for the owner"))
 	}
 	defer func() { _ = response.Body.Close() }()
+	response.Body = fedBody{Reader: dog.reader(response.Body), Closer: response.Body}
 	reply, err := readReply(response, job.Request, fw.maxBody)
 	if err != nil {
-		return lost(fault.Wrap(fault.BrokenAnswer, err, "read the owner's answer"))
+		return lost(fault.Wrap(fault.BrokenAnswer, causeOf(ctx, err), "read the owner's answer"))
 	}
 	return reply
 }
+
+type fedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// causeOf returns why a context ended, or err if it has not.
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -231,5 +231,5 @@
 		writeReply(writer, job.Request, refusal(fault.Wrap(fault.InvalidInput, err, "read the forwarded call")))
 		return
 	}
-	writeReply(writer, job.Request, ow.Do(request.Context(), job))
+	writeReply(writer, job.Request, ow.doWithHeartbeat(request.Context(), writer, job))
 }
