Count control bytes, exchanges and platform calls

Change: The peer client counts the bytes of its connections and the peer handler those of its requests and answers, headers included; the forward path is not counted. The store is wrapped so that reads, writes and watches are counted. Requests between nodes name the calling instance.

Conclusion: /metrics has control_bytes_in_total, control_bytes_out_total, exchanges_*, pulls_* and platform_* per node.

--- a/node/effect.go
+++ b/node/effect.go
@@ -115,6 +115,7 @@
 
 // serveExchange answers a peer's membership message.
 func (nd *Node) serveExchange(_ context.Context, message fleet.Message) (fleet.Message, error) {
+	nd.meters.count(trace.ExchangesServed)
 	token, answer := nd.waiters.add()
 	nd.loop.post(fleet.ExchangeReceived{Token: token, Message: message})
 	select {
--- a/node/handler.go
+++ b/node/handler.go
@@ -29,6 +29,7 @@
 		Exchange: nd.serveExchange,
 		Pull:     nd.bundle,
 		Probe:    nd.probe,
+		Meter:    nd.meters.control,
 	}))
 	mux.Handle(nd.operatorHandler())
 	return mux
--- a/node/node.go
+++ b/node/node.go
@@ -91,6 +91,7 @@
 	if err := nd.listen(); err != nil {
 		return nil, err
 	}
+	nd.store = nd.meters.store(store)
 	nd.assemble()
 	return nd, nil
 }
@@ -121,7 +122,7 @@
 	}
 	options := append([]core.Option{core.WithSeed(nd.settings.Seed), core.WithPolicies(nd.settings.Policies)}, nd.options...)
 	nd.loop = &loop{state: core.New(self, options...), now: nd.now, run: nd.run}
-	nd.peers = peer.NewClient(nd.clock, nd.now)
+	nd.peers = peer.NewClient(nd.clock, nd.now, peer.WithMeter(nd.meters.control), peer.WithInstance(nd.settings.Instance))
 	nd.owner = proxy.NewOwner(nd.loop.post, nd.load, nd.now, proxy.WithMaxBody(nd.settings.MaxBody))
 	forward := proxy.NewForwarder(nd.now, nd.settings.MaxBody)
 	nd.entry = proxy.NewEntry(nd.settings.Instance, nd.loop.post, nd.owner, forward, nd.now)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -27,6 +27,8 @@
 	maxMessage      = 8 << 20
 	idleConnections = 256
 	idleTimeout     = 30 * time.Second
+	instanceHeader  = "Sequoiamill-Instance"
+	userAgent       = "sequoiamill"
 )
 
 // Service is what a node answers to its peers.
@@ -41,11 +43,17 @@
 	Pull func() conf.Bundle
 	// Probe asks another node for an answer.
 	Probe func(ctx context.Context, id types.InstanceID, address types.Address) bool
+	// Meter takes the bytes of the messages served.
+	Meter Meter
 }
 
 // NewHandler returns the path and handler that serve peers.
 func NewHandler(service Service) (string, http.Handler) {
-	return peerv1connect.NewPeerHandler(&server{service: service}, connect.WithReadMaxBytes(maxMessage))
+	path, handler := peerv1connect.NewPeerHandler(&server{service: service}, connect.WithReadMaxBytes(maxMessage))
+	if service.Meter != nil {
+		handler = service.Meter.handler(handler)
+	}
+	return path, handler
 }
 
 type server struct{ service Service }
@@ -83,25 +91,52 @@
 
 // Client calls peers.
 type Client struct {
-	http  *http.Client
-	clock *trace.Clock
-	now   func() time.Time
+	http      *http.Client
+	transport *http.Transport
+	clock     *trace.Clock
+	now       func() time.Time
+	instance  types.InstanceID
+}
+
+// Option changes a setting of a client.
+type Option func(*Client)
+
+// WithMeter counts the bytes of the client's messages.
+func WithMeter(meter Meter) Option {
+	return func(cl *Client) { cl.transport.DialContext = meter.dial }
+}
+
+// WithInstance names the calling instance on each request.
+func WithInstance(id types.InstanceID) Option {
+	return func(cl *Client) { cl.instance = id }
 }
 
 // NewClient returns a client whose messages carry a clock.
-func NewClient(clock *trace.Clock, now func() time.Time) *Client {
+func NewClient(clock *trace.Clock, now func() time.Time, opts ...Option) *Client {
 	transport := &http.Transport{MaxIdleConns: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}
-	return &Client{http: &http.Client{Transport: transport}, clock: clock, now: now}
+	cl := &Client{http: &http.Client{Transport: transport}, transport: transport, clock: clock, now: now}
+	for _, opt := range opts {
+		opt(cl)
+	}
+	return cl
 }
 
 func (cl *Client) dial(address types.Address) peerv1connect.PeerClient {
 	return peerv1connect.NewPeerClient(cl.http, "http://"+string(address), connect.WithReadMaxBytes(maxMessage))
 }
 
+// named returns a request that names the calling instance.
+func named[T any](cl *Client, message *T) *connect.Request[T] {
+	request := connect.NewRequest(message)
+	request.Header().Set(instanceHeader, string(cl.instance))
+	request.Header().Set("User-Agent", userAgent)
+	return request
+}
+
 // Exchange sends a membership message and returns the answer.
 func (cl *Client) Exchange(ctx context.Context, address types.Address, message fleet.Message) (fleet.Message, error) {
 	wire := codec.MessageToProto(message, cl.clock.Now(cl.now()))
-	reply, err := cl.dial(address).Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{Message: wire}))
+	reply, err := cl.dial(address).Exchange(ctx, named(cl, &peerv1.ExchangeRequest{Message: wire}))
 	if err != nil {
 		return fleet.Message{}, codec.FaultFromRPC(err)
 	}
@@ -116,7 +151,7 @@
 // Probe asks a peer whether it reaches another node.
 func (cl *Client) Probe(ctx context.Context, address types.Address, id types.InstanceID, target types.Address) (bool, error) {
 	request := &peerv1.ProbeRequest{Instance: string(id), Address: string(target)}
-	reply, err := cl.dial(address).Probe(ctx, connect.NewRequest(request))
+	reply, err := cl.dial(address).Probe(ctx, named(cl, request))
 	if err != nil {
 		return false, codec.FaultFromRPC(err)
 	}
@@ -129,7 +164,7 @@
 	for hash := range held.Bodies {
 		request.HeldHashes = append(request.HeldHashes, string(hash))
 	}
-	reply, err := cl.dial(address).Pull(ctx, connect.NewRequest(request))
+	reply, err := cl.dial(address).Pull(ctx, named(cl, request))
 	if err != nil {
 		return conf.Bundle{}, codec.FaultFromRPC(err)
 	}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,53 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/trace"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+type traffic struct{ in, out atomic.Int64 }
+
+func (tr *traffic) meter(in, out int) {
+	tr.in.Add(int64(in))
+	tr.out.Add(int64(out))
+}
+
+func TestBothEndsCountTheSameBytes(t *testing.T) {
+	is := is.New(t)
+	var server, client traffic
+	mux := http.NewServeMux()
+	mux.Handle(NewHandler(Service{
+		Clock: trace.NewClock(),
+		Now:   time.Now,
+		Meter: server.meter,
+		Exchange: func(_ context.Context, message fleet.Message) (fleet.Message, error) {
+			return message, nil
+		},
+	}))
+	listener := httptest.NewServer(mux)
+	defer listener.Close()
+	address := types.Address(strings.TrimPrefix(listener.URL, "http://"))
+	cl := NewClient(trace.NewClock(), time.Now, WithMeter(client.meter), WithInstance("a"))
+	const exchanges = 20
+	for range exchanges {
+		answer, err := cl.Exchange(t.Context(), address, fleet.Message{From: "a", Version: 7})
+		is.NoErr(err)
+		is.Equal(answer.Version, types.Version(7))
+	}
+	sent, served := client.out.Load(), server.in.Load()
+	is.True(sent > 0 && served > sent*9/10 && served < sent*11/10) // requests
+	received, answered := client.in.Load(), server.out.Load()
+	is.True(received > 0 && answered > received*9/10 && answered < received*11/10) // answers
+	t.Logf("an exchange took %d bytes out and %d in", sent/exchanges, received/exchanges)
+}
--- a/trace/count.go
+++ b/trace/count.go
@@ -21,6 +21,14 @@
 	ExchangesSent
 	ExchangesFailed
 	ConfigPulls
+	ExchangesServed
+	PullsServed
+	PullsRefused
+	PlatformReads
+	PlatformWrites
+	PlatformWatches
+	ControlBytesIn
+	ControlBytesOut
 	counterCount
 )
 
@@ -41,6 +49,14 @@
 	ExchangesSent:   "exchanges_sent",
 	ExchangesFailed: "exchanges_failed",
 	ConfigPulls:     "config_pulls",
+	ExchangesServed: "exchanges_served",
+	PullsServed:     "pulls_served",
+	PullsRefused:    "pulls_refused",
+	PlatformReads:   "platform_reads",
+	PlatformWrites:  "platform_writes",
+	PlatformWatches: "platform_watches",
+	ControlBytesIn:  "control_bytes_in",
+	ControlBytesOut: "control_bytes_out",
 }
 
 // Counters returns every counter.
