Index routes by path prefix and host

Cause: a match scanned all routes, and a request's host with its port never matched a route's host.

Change: a map from path prefix to the routes of each host; a match looks up the path's prefixes at its slashes, longest first. Hosts compare in lower case and without the port.

Ruled out: an index by first path segment, which is slow when all routes share one segment or differ by host alone.

--- a/route/match.go
+++ b/route/match.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"net"
 	"slices"
 	"strings"
 
@@ -25,45 +26,104 @@
 
 // Table finds the route of a request.
 type Table struct {
-	routes []conf.Route
+	prefixes map[string]hosts
+	// longest is the length of the longest prefix.
+	longest int
 }
 
-// NewTable returns the table of a snapshot, the most specific routes first.
+// hosts holds the routes of one path prefix by host; the routes for any host
+// are under the empty one.
+type hosts map[string][]conf.Route
+
+// NewTable returns the table of a snapshot.
 func NewTable(snapshot conf.Snapshot) Table {
-	routes := slices.Clone(snapshot.Routes())
-	slices.SortStableFunc(routes, func(a, b conf.Route) int {
-		return cmp.Or(
-			cmp.Compare(len(b.Match.PathPrefix), len(a.Match.PathPrefix)),
-			cmp.Compare(len(b.Match.Host), len(a.Match.Host)),
-			cmp.Compare(min(b.Match.Methods.Len(), 1), min(a.Match.Methods.Len(), 1)),
-			cmp.Compare(a.Name, b.Name),
-		)
-	})
-	return Table{routes: routes}
+	tb := Table{prefixes: map[string]hosts{}}
+	for _, route := range snapshot.Routes() {
+		tb.add(route)
+	}
+	for _, byHost := range tb.prefixes {
+		for _, routes := range byHost {
+			slices.SortFunc(routes, compareMethods)
+		}
+	}
+	return tb
+}
+
+func (tb *Table) add(route conf.Route) {
+	prefix := route.Match.PathPrefix
+	tb.longest = max(tb.longest, len(prefix))
+	byHost, ok := tb.prefixes[prefix]
+	if !ok {
+		byHost = hosts{}
+		tb.prefixes[prefix] = byHost
+	}
+	host := bareHost(route.Match.Host)
+	byHost[host] = append(byHost[host], route)
+}
+
+// compareMethods orders routes that name methods first, then by name.
+func compareMethods(a, b conf.Route) int {
+	return cmp.Or(
+		cmp.Compare(min(b.Match.Methods.Len(), 1), min(a.Match.Methods.Len(), 1)),
+		cmp.Compare(a.Name, b.Name),
+	)
 }
 
 // Match returns the most specific route of a request: the longest path
-// prefix, then a named host, then a named method.
+// prefix, then a named host, then a named method. A prefix ends at the end of
+// the path, at a slash or with a slash of its own.
 func (tb Table) Match(request Request) (conf.Route, bool) {
-	for _, route := range tb.routes {
-		if matches(route.Match, request) {
-			return route, true
+	host, path := bareHost(request.Host), request.Path
+	if route, ok := tb.lookup(path, host, request.Method); ok {
+		return *route, true
+	}
+	for end := min(len(path), tb.longest+1) - 1; end >= 0; end-- {
+		if path[end] != '/' {
+			continue
 		}
+		if route, ok := tb.lookup(path[:end+1], host, request.Method); ok {
+			return *route, true
+		}
+		if route, ok := tb.lookup(path[:end], host, request.Method); ok {
+			return *route, true
+		}
+	}
+	if route, ok := tb.lookup("", host, request.Method); ok {
+		return *route, true
 	}
 	return conf.Route{}, false
 }
 
-func matches(match conf.Match, request Request) bool {
-	if match.Host != "" && match.Host != request.Host {
-		return false
+func (tb Table) lookup(prefix, host, method string) (*conf.Route, bool) {
+	if len(prefix) > tb.longest {
+		return nil, false
+	}
+	byHost, ok := tb.prefixes[prefix]
+	if !ok {
+		return nil, false
+	}
+	if route, ok := allowing(byHost[host], method); ok || host == "" {
+		return route, ok
 	}
-	if match.Methods.Len() > 0 && !match.Methods.Has(request.Method) {
-		return false
+	return allowing(byHost[""], method)
+}
+
+func allowing(routes []conf.Route, method string) (*conf.Route, bool) {
+	for at := range routes {
+		methods := routes[at].Match.Methods
+		if methods.Len() == 0 || methods.Has(method) {
+			return &routes[at], true
+		}
 	}
-	return hasPathPrefix(request.Path, match.PathPrefix)
+	return nil, false
 }
 
-func hasPathPrefix(path, prefix string) bool {
-	rest, ok := strings.CutPrefix(path, prefix)
-	return ok && (rest == "" || rest[0] == '/' || prefix == "" || prefix[len(prefix)-1] == '/')
+// bareHost returns a host in lower case and without its port.
+func bareHost(host string) string {
+	if strings.Contains(host, ":") {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			host = name
+		}
+	}
+	return strings.ToLower(strings.Trim(host, "[]"))
 }
