Measure the time that calls spend in entry, owner and hop

Cause: the time that the mesh adds to a call couldn't be read anywhere.

Change: histograms and one-minute summaries of the residence in the entry without its attempts, in the owner without the upstream (queueing included), and of the hop between them.

Conclusion: path.txtar reads the counts and a quantile from /metrics.

--- a/node/meters.go
+++ b/node/meters.go
@@ -2,12 +2,18 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"sequoiamill.example/sequoiamill/proxy"
 	"sequoiamill.example/sequoiamill/trace"
 )
 
+const summaryWindow = time.Minute
+
+var summaryQuantiles = []float64{0.5, 0.9, 0.99, 1}
+
 // meters are the counters of one node.
 type meters struct {
 	set      *metrics.Set
@@ -24,6 +30,26 @@
 
 func (mt *meters) count(counter trace.Counter) { mt.counters[counter].Inc() }
 
+// residence returns the meters of the data path.
+func (mt *meters) residence() proxy.Meters {
+	return proxy.Meters{
+		EntryResidence: mt.timer("entry_residence"),
+		OwnerResidence: mt.timer("owner_residence"),
+		Hop:            mt.timer("hop"),
+	}
+}
+
+// timer returns a meter that keeps a histogram and a summary of the last
+// minute.
+func (mt *meters) timer(name string) func(time.Duration) {
+	histogram := mt.set.NewHistogram("sequoiamill_" + name + "_seconds")
+	summary := mt.set.NewSummaryExt("sequoiamill_"+name+"_summary_seconds", summaryWindow, summaryQuantiles)
+	return func(elapsed time.Duration) {
+		histogram.Update(elapsed.Seconds())
+		summary.Update(elapsed.Seconds())
+	}
+}
+
 func (mt *meters) write(writer io.Writer) {
 	mt.set.WritePrometheus(writer)
 	metrics.WriteProcessMetrics(writer)
--- a/node/node.go
+++ b/node/node.go
@@ -122,7 +122,8 @@
 	options := append([]core.Option{core.WithSeed(nd.settings.Seed), core.WithPolicies(nd.settings.Policies)}, nd.options...)
 	nd.loop = &loop{state: core.New(self, options...), now: nd.now, run: nd.run}
 	nd.peers = peer.NewClient(nd.clock, nd.now)
-	nd.owner = proxy.NewOwner(nd.loop.post, nd.load, nd.now, proxy.WithMaxBody(nd.settings.MaxBody))
+	nd.owner = proxy.NewOwner(nd.loop.post, nd.load, nd.now,
+		proxy.WithMaxBody(nd.settings.MaxBody), proxy.WithMeters(nd.meters.residence()))
 	forward := proxy.NewForwarder(nd.now, nd.settings.MaxBody)
 	nd.entry = proxy.NewEntry(nd.settings.Instance, nd.loop.post, nd.owner, forward, nd.now)
 }
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -34,17 +34,21 @@
 type openCall struct {
 	job      Job
 	done     chan result
+	first    time.Time
 	attempts map[int]*openAttempt
 }
 
 type openAttempt struct {
 	cancel context.CancelFunc
 	answer Answer
+	ended  time.Time
 }
 
 type result struct {
 	answer Answer
 	err    *fault.Error
+	// away is the time from the first attempt to the end of the delivered one.
+	away time.Duration
 }
 
 // NewEntry returns an entry that sends work to its own upstream through owner
@@ -58,6 +62,7 @@
 
 // ServeHTTP answers one request of a caller.
 func (en *Entry) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	start := en.now()
 	job, limit, err := en.readCall(request)
 	if err != nil {
 		writeFault(writer, job.Request, err)
@@ -72,6 +77,9 @@
 	select {
 	case end := <-open.done:
 		en.write(writer, job.Request, end)
+		if end.err == nil {
+			en.owner.meters.EntryResidence(en.now().Sub(start) - end.away)
+		}
 	case <-request.Context().Done():
 		en.post(flow.CallCanceled{Call: id})
 	}
@@ -151,6 +159,9 @@
 	job.Deadline = effect.Deadline
 	ctx, cancel := context.WithDeadline(context.Background(), effect.Deadline)
 	en.mu.Lock()
+	if len(open.attempts) == 0 {
+		open.first = en.now()
+	}
 	open.attempts[effect.Attempt] = &openAttempt{cancel: cancel}
 	en.mu.Unlock()
 	go en.attempt(ctx, open, effect, job)
@@ -160,13 +171,18 @@
 	start := en.now()
 	var reply Reply
 	if effect.Target.Local {
-		reply = en.owner.Do(ctx, job)
+		reply = en.owner.doLocal(ctx, job)
 	} else {
 		reply = en.forward.Do(ctx, effect.Target.Address, job)
 	}
+	ended := en.now()
+	if !effect.Target.Local && reply.Verdict == flow.Answered {
+		en.owner.meters.Hop(ended.Sub(start) - reply.AtOwner)
+	}
 	en.mu.Lock()
 	attempt := open.attempts[effect.Attempt]
 	attempt.answer = reply.Answer
+	attempt.ended = ended
 	attempt.cancel()
 	en.mu.Unlock()
 	en.post(flow.AttemptEnded{
@@ -175,7 +191,7 @@
 		Verdict: reply.Verdict,
 		Err:     reply.Err,
 		Load:    reply.Load,
-		Elapsed: en.now().Sub(start),
+		Elapsed: ended.Sub(start),
 	})
 }
 
@@ -197,9 +213,10 @@
 		return
 	}
 	en.mu.Lock()
-	answer := open.attempts[effect.Attempt].answer
+	attempt := open.attempts[effect.Attempt]
+	end := result{answer: attempt.answer, away: attempt.ended.Sub(open.first)}
 	en.mu.Unlock()
-	open.done <- result{answer: answer}
+	open.done <- end
 }
 
 func (en *Entry) put(id types.CallID, open *openCall) {
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -24,6 +24,7 @@
 	load    func() route.Load
 	now     func() time.Time
 	maxBody int64
+	meters  Meters
 	target  atomic.Pointer[target]
 	nextID  atomic.Uint64
 	mu      sync.Mutex
@@ -52,7 +53,10 @@
 
 // NewOwner returns an owner without an upstream.
 func NewOwner(post func(types.Event), load func() route.Load, now func() time.Time, opts ...OwnerOption) *Owner {
-	ow := &Owner{post: post, load: load, now: now, maxBody: defaultMaxBody, jobs: map[types.WorkID]*openJob{}}
+	ow := &Owner{
+		post: post, load: load, now: now,
+		maxBody: defaultMaxBody, meters: noMeters(), jobs: map[types.WorkID]*openJob{},
+	}
 	for _, opt := range opts {
 		opt(ow)
 	}
@@ -156,7 +160,8 @@
 func (ow *Owner) dispatch(id types.WorkID, open *openJob) {
 	start := ow.now()
 	reply := ow.send(open.ctx, open.job)
-	ended := admit.Ended{ID: id, Elapsed: ow.now().Sub(start), Whole: reply.Verdict == flow.Answered}
+	reply.AtUpstream = ow.now().Sub(start)
+	ended := admit.Ended{ID: id, Elapsed: reply.AtUpstream, Whole: reply.Verdict == flow.Answered}
 	switch reply.Verdict {
 	case flow.Answered:
 		ended.Ran = fault.Ran
@@ -221,6 +226,7 @@
 
 // ServeHTTP takes work from other nodes.
 func (ow *Owner) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	start := ow.now()
 	job, err := readJobHeaders(request.Header, ow.now())
 	if err != nil {
 		writeReply(writer, types.RequestID(request.Header.Get(HeaderRequestID)), refusal(fault.From(err)))
@@ -231,5 +237,22 @@
 		writeReply(writer, job.Request, refusal(fault.Wrap(fault.InvalidInput, err, "read the forwarded call")))
 		return
 	}
-	writeReply(writer, job.Request, ow.Do(request.Context(), job))
+	reply := ow.Do(request.Context(), job)
+	reply.AtOwner = ow.now().Sub(start)
+	writeReply(writer, job.Request, reply)
+	ow.observe(start, reply)
+}
+
+// doLocal runs a job of the entry on the same node.
+func (ow *Owner) doLocal(ctx context.Context, job Job) Reply {
+	start := ow.now()
+	reply := ow.Do(ctx, job)
+	ow.observe(start, reply)
+	return reply
+}
+
+func (ow *Owner) observe(start time.Time, reply Reply) {
+	if reply.Verdict == flow.Answered {
+		ow.meters.OwnerResidence(ow.now().Sub(start) - reply.AtUpstream)
+	}
 }
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -48,6 +48,7 @@
 	headerOutstanding = "Sequoiamill-Outstanding"
 	headerQueued      = "Sequoiamill-Queued"
 	headerRetryAfter  = "Sequoiamill-Retry-After-Millis"
+	headerAtOwner     = "Sequoiamill-At-Owner-Micros"
 )
 
 // ForwardPath is where a node takes work from other nodes.
@@ -87,6 +88,9 @@
 	Err     *fault.Error
 	Load    route.Load
 	Answer  Answer
+	// AtUpstream and AtOwner are the times spent there.
+	AtUpstream time.Duration
+	AtOwner    time.Duration
 }
 
 // refusal returns a reply to a job that did not run.
@@ -138,7 +142,7 @@
 
 func writeJobHeaders(header http.Header, job Job, now time.Time) {
 	header.Set(HeaderRequestID, string(job.Request))
-	header.Set(HeaderTimeLeft, strconv.FormatInt(job.Deadline.Sub(now).Microseconds(), 10))
+	header.Set(HeaderTimeLeft, formatMicros(job.Deadline.Sub(now)))
 	header.Set(headerEntry, string(job.Entry))
 	header.Set(headerService, string(job.Route.Service))
 	header.Set(headerRoute, string(job.Route.Name))
@@ -203,6 +207,7 @@
 	header.Set(headerVerdict, reply.Verdict.String())
 	header.Set(headerOutstanding, strconv.Itoa(reply.Load.Outstanding))
 	header.Set(headerQueued, strconv.Itoa(reply.Load.Queued))
+	header.Set(headerAtOwner, formatMicros(reply.AtOwner))
 	body := reply.Answer.Body
 	if reply.Err != nil {
 		body = []byte(reply.Err.Message)
@@ -228,7 +233,8 @@
 	if header.Get(headerDigest) != digestOf(body) {
 		return Reply{}, fault.New(fault.BrokenAnswer, "the answer's digest does not match")
 	}
-	reply := Reply{Load: loadOf(header)}
+	atOwner, _ := strconv.ParseInt(header.Get(headerAtOwner), 10, 64)
+	reply := Reply{Load: loadOf(header), AtOwner: time.Duration(atOwner) * time.Microsecond}
 	switch header.Get(headerVerdict) {
 	case flow.Answered.String():
 		status, err := strconv.Atoi(header.Get(headerStatus))
