--- a/node/meters.go
+++ b/node/meters.go
@@ -3,13 +3,19 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"sequoiamill.example/sequoiamill/plat"
+	"sequoiamill.example/sequoiamill/proxy"
 	"sequoiamill.example/sequoiamill/trace"
 )
 
+const summaryWindow = time.Minute
+
+var summaryQuantiles = []float64{0.5, 0.9, 0.99, 1}
+
 // meters are the counters of one node.
 type meters struct {
 	set      *metrics.Set
@@ -59,6 +65,26 @@
 	}
 }
 
+// residence returns the meters of the data path.
+func (mt *meters) residence() proxy.Meters {
+	return proxy.Meters{
+		EntryResidence: mt.timer("entry_residence"),
+		OwnerResidence: mt.timer("owner_residence"),
+		Hop:            mt.timer("hop"),
+	}
+}
+
+// timer returns a meter that keeps a histogram and a summary of the last
+// minute.
+func (mt *meters) timer(name string) func(time.Duration) {
+	histogram := mt.set.NewHistogram("sequoiamill_" + name + "_seconds")
+	summary := mt.set.NewSummaryExt("sequoiamill_"+name+"_summary_seconds", summaryWindow, summaryQuantiles)
+	return func(elapsed time.Duration) {
+		histogram.Update(elapsed.Seconds())
+		summary.Update(elapsed.Seconds())
+	}
+}
+
 func (mt *meters) write(writer io.Writer) {
 	mt.set.WritePrometheus(writer)
 	metrics.WriteProcessMetrics(writer)
