--- a/conf/valid.go
+++ b/conf/valid.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"net/netip"
 	"regexp"
 	"slices"
 	"strconv"
@@ -97,8 +98,8 @@
 }
 
 func (c *checker) match(key Key, match Match) {
-	if match.Host != "" && !hostPattern.MatchString(match.Host) {
-		c.fault(key, "host "+strconv.Quote(match.Host)+" is not a lower-case host name")
+	if match.Host != "" && !isHost(match.Host) {
+		c.fault(key, "host "+strconv.Quote(match.Host)+" is not a lower-case host name or an IP address")
 	}
 	switch prefix := match.PathPrefix; {
 	case prefix != "" && !strings.HasPrefix(prefix, "/"):
@@ -190,3 +191,8 @@
 		c.fault(key, "a span names a day twice")
 	}
 }
+
+func isHost(host string) bool {
+	_, err := netip.ParseAddr(host)
+	return err == nil || hostPattern.MatchString(host)
+}
