Refuse work for a while before a stopping node is gone

Cause: a stopping node closed its idle connections as soon as it had drained. A peer that had not yet heard of the stop sent work on such a connection, and as the work may have run, a caller of a route that is not idempotent got outcome-unknown.

Change: a stopping node announces that it leaves, refuses new work as not-run for the time of stop-linger, asks the other end of each connection to close it and departs only then.

Ruled out: resending work after a broken pipe, since bytes may have arrived.

A stop takes stop-linger longer.

--- a/core/entry.go
+++ b/core/entry.go
@@ -29,7 +29,7 @@
 }
 
 func (st *State) entryRoute(target route.Request) (conf.Route, *fault.Error) {
-	if st.stopping {
+	if st.stop.asked {
 		return conf.Route{}, fault.New(fault.Stopping, "the node is stopping").WithRetryAfter(comeBackSoon)
 	}
 	if !st.conf.Ready() {
--- a/core/owner.go
+++ b/core/owner.go
@@ -81,7 +81,7 @@
 
 func (st *State) ownerFault(work admit.Work, now time.Time) *fault.Error {
 	switch {
-	case st.stopping:
+	case st.stop.asked:
 		return fault.New(fault.Stopping, "the upstream's node is stopping").WithRetryAfter(comeBackSoon)
 	case !st.upstream.known || st.upstream.announcement.Service != work.Service:
 		return fault.New(fault.NoUpstream, "the node owns no upstream of service %q", work.Service).WithRetryAfter(comeBackSoon)
--- a/core/state.go
+++ b/core/state.go
@@ -24,14 +24,14 @@
 	upstream local
 	policies Policies
 	watching bool
-	stopping bool
-	drained  bool
+	stop     stop
 }
 
 type settings struct {
 	seed     uint64
 	policies Policies
 	gate     []admit.Option
+	linger   time.Duration
 }
 
 // Option changes a setting of a state.
@@ -52,6 +52,12 @@
 	return func(se *settings) { se.gate = opts }
 }
 
+// WithLinger sets how long a stopping node goes on refusing work after it has
+// announced that it leaves, so that the news is everywhere before it is gone.
+func WithLinger(linger time.Duration) Option {
+	return func(se *settings) { se.linger = linger }
+}
+
 // New returns the state of a node that has just started.
 func New(self fleet.Member, opts ...Option) *State {
 	se := settings{policies: DefaultPolicies()}
@@ -64,6 +70,7 @@
 		balance:  route.NewBalance(se.policies.balance()),
 		gate:     admit.NewGate(se.gate...),
 		policies: se.policies,
+		stop:     stop{linger: se.linger},
 	}
 	st.calls = flow.NewTable(flow.Seams{Pick: st.pick, Began: st.balance.Began, Ended: st.balance.Ended})
 	return st
@@ -81,12 +88,12 @@
 }
 
 // Ready reports whether the node may serve callers.
-func (st *State) Ready() bool { return st.conf.Ready() && !st.stopping }
+func (st *State) Ready() bool { return st.conf.Ready() && !st.stop.asked }
 
 // Step applies one event and returns its effects in order.
 func (st *State) Step(event types.Event, now time.Time) []types.Effect {
 	effects := st.apply(event, now)
-	return append(effects, st.checkDrained()...)
+	return append(effects, st.checkDrained(now)...)
 }
 
 func (st *State) apply(event types.Event, now time.Time) []types.Effect {
@@ -96,7 +103,7 @@
 	case UpstreamAnnounced:
 		return st.announced(ev.Announcement, now)
 	case StopAsked:
-		return st.stop()
+		return st.stopAsked(now)
 	case conf.Offered:
 		return st.offered(ev, now)
 	case types.TimerFired:
@@ -186,7 +193,7 @@
 }
 
 func (st *State) electDelegate() []types.Effect {
-	delegate := st.fleet.IsDelegate() || st.policies.Spread == SpreadWatch && !st.stopping
+	delegate := st.fleet.IsDelegate() || st.policies.Spread == SpreadWatch && !st.stop.asked
 	if delegate == st.watching {
 		return nil
 	}
@@ -200,22 +207,3 @@
 		trace.Event{Kind: trace.DelegateChanged, Subject: st.fleet.Self().ID, Detail: detail},
 	}
 }
-
-func (st *State) stop() []types.Effect {
-	if st.stopping {
-		return nil
-	}
-	st.stopping = true
-	st.fleet.Leave()
-	effects := []types.Effect{trace.Event{Kind: trace.NodeStopping, Subject: st.fleet.Self().ID}}
-	return append(effects, st.electDelegate()...)
-}
-
-func (st *State) checkDrained() []types.Effect {
-	if !st.stopping || st.drained || st.calls.Len() > 0 || st.gate.Running() > 0 || st.gate.Queued() > 0 {
-		return nil
-	}
-	st.drained = true
-	st.fleet.Depart()
-	return append(st.fleet.Push(), Drained{})
-}
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -24,11 +25,10 @@
 )
 
 const (
-	tickInterval     = 100 * time.Millisecond
-	timelineSize     = 4096
-	readHeaderLimit  = 10 * time.Second
-	callerIdleLimit  = 2 * time.Minute
-	shutdownInterval = 2 * time.Second
+	tickInterval    = 100 * time.Millisecond
+	timelineSize    = 4096
+	readHeaderLimit = 10 * time.Second
+	callerIdleLimit = 2 * time.Minute
 )
 
 // Node is one process of the mesh.
@@ -48,9 +48,11 @@
 	peers   *peer.Client
 	waiters waiters
 	drained chan struct{}
-	life    context.Context
-	watch   watcher
-	pulling sync.Mutex
+	// stopping states that every connection is to be closed by its answer.
+	stopping atomic.Bool
+	life     context.Context
+	watch    watcher
+	pulling  sync.Mutex
 
 	callerListener net.Listener
 	peerListener   net.Listener
@@ -120,7 +122,7 @@
 		Region:      nd.settings.Region,
 		Started:     started.Truncate(time.Millisecond),
 	}
-	options := append([]core.Option{core.WithSeed(nd.settings.Seed), core.WithPolicies(nd.settings.Policies)}, nd.options...)
+	options := append([]core.Option{core.WithSeed(nd.settings.Seed), core.WithPolicies(nd.settings.Policies), core.WithLinger(nd.settings.StopLinger)}, nd.options...)
 	nd.loop = &loop{state: core.New(self, options...), now: nd.now, run: nd.run}
 	nd.peers = peer.NewClient(nd.clock, nd.now, peer.WithMeter(nd.meters.control), peer.WithInstance(nd.settings.Instance))
 	nd.owner = proxy.NewOwner(nd.loop.post, nd.load, nd.now,
@@ -160,8 +162,8 @@
 	nd.life = life
 	nd.event(trace.Event{Kind: trace.NodeStarted, Subject: nd.settings.Instance})
 	var group run.Group
-	nd.addServer(&group, nd.callerListener, nd.entry)
-	nd.addServer(&group, nd.peerListener, nd.peerHandler())
+	nd.addServer(&group, nd.callerListener, nd.closing(nd.entry))
+	nd.addServer(&group, nd.peerListener, nd.closing(nd.peerHandler()))
 	nd.addServer(&group, nd.adminListener, nd.adminHandler())
 	addTask(life, &group, nd.tick)
 	addTask(life, &group, nd.join)
@@ -179,7 +181,7 @@
 	group.Add(
 		func() error { return server.Serve(listener) },
 		func(error) {
-			ctx, cancel := context.WithTimeout(context.Background(), shutdownInterval)
+			ctx, cancel := context.WithTimeout(context.Background(), nd.settings.StopLimit)
 			defer cancel()
 			_ = server.Shutdown(ctx)
 		})
@@ -198,6 +200,17 @@
 	}
 }
 
+// closing asks the other end of a connection to close it while the node stops,
+// so that no request is sent on a connection that is about to close.
+func (nd *Node) closing(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if nd.stopping.Load() {
+			writer.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(writer, request)
+	})
+}
+
 // awaitStop ends when the node was told to stop and has drained.
 func (nd *Node) awaitStop(asked, life context.Context) error {
 	select {
@@ -205,6 +218,7 @@
 	case <-life.Done():
 		return nil
 	}
+	nd.stopping.Store(true)
 	nd.loop.post(core.StopAsked{})
 	limit := time.NewTimer(nd.settings.StopLimit)
 	defer limit.Stop()
--- a/node/settings.go
+++ b/node/settings.go
@@ -33,6 +33,9 @@
 	Peers []types.Address
 	// MaxBody bounds the body of a call and of an answer in bytes.
 	MaxBody int64
+	// StopLinger is how long a stopping node goes on refusing work, so that
+	// no peer still sends to it when it is gone.
+	StopLinger time.Duration
 	// StopLimit bounds a graceful stop.
 	StopLimit time.Duration
 	Seed      uint64
@@ -60,8 +63,8 @@
 	if s.MaxBody <= 0 {
 		faults = append(faults, "max-body must be above 0")
 	}
-	if s.StopLimit <= 0 {
-		faults = append(faults, "stop-limit must be above 0")
+	if s.StopLinger < 0 || s.StopLimit <= s.StopLinger {
+		faults = append(faults, "stop-limit must be above stop-linger, and that not below 0")
 	}
 	if err := s.Policies.Validate(); err != nil {
 		faults = append(faults, fault.From(err).Message)
--- a/script/script_test.go
+++ b/script/script_test.go
@@ -29,6 +29,7 @@
 		"platform":    platform,
 		"upstream":    upstream,
 		"load":        load,
+		"callers":     callers,
 		"get":         get,
 		"eventually":  eventually,
 		"link":        link,
@@ -60,8 +61,10 @@
 	ts.Fatalf("no background process has the arguments %q", args[1])
 }
 
-// setup gives each scenario free loopback ports as $PORT0 to $PORT19.
+// setup gives each scenario free loopback addresses as $A0 to $A19, and nodes
+// that do not linger at the end of the scenario.
 func setup(env *testscript.Env) error {
+	env.Setenv("SEQUOIAMILL_STOP_LINGER", "300ms")
 	const ports = 20
 	var listeners []net.Listener
 	for number := range ports {
@@ -119,25 +122,6 @@
 	serve(*listen, &fakes.Upstream{Name: *name, Work: *work})
 }
 
-// load sends requests one after another and fails on any bad answer.
-func load() {
-	count := flag.Int("count", 1, "number of requests")
-	flag.Parse()
-	for number := range *count {
-		want := fmt.Sprintf("body-%d", number)
-		response, err := http.Post(flag.Arg(0), "text/plain", strings.NewReader(want))
-		if err != nil {
-			fail("request %d: %v", number, err)
-		}
-		body, err := io.ReadAll(response.Body)
-		if err != nil || response.StatusCode != http.StatusOK || !strings.HasSuffix(string(body), want) {
-			fail("request %d: %s %v %q", number, response.Status, err, body)
-		}
-		_ = response.Body.Close()
-	}
-	fmt.Printf("%d whole answers\n", *count)
-}
-
 func get() {
 	response, err := http.Get(os.Args[1])
 	if err != nil {
--- a/verbs/node.go
+++ b/verbs/node.go
@@ -27,6 +27,7 @@
 	Advertise   string        `help:"Peer address that other nodes are told; empty means that of the listener."`
 	Peer        []string      `help:"Peer address to join by when the platform is down; may be repeated."`
 	MaxBody     int64         `help:"Greatest size of a request or an answer in bytes." default:"8388608"`
+	StopLinger  time.Duration `help:"Time in which a stopping node goes on refusing work." default:"3s"`
 	StopLimit   time.Duration `help:"Longest time of a graceful stop." default:"30s"`
 	Seed        uint64        `help:"Seed of the random choices; 0 takes the process id." default:"0"`
 	Balance     string        `help:"How upstreams are chosen: peak-ewma, least-outstanding or round-robin." default:"peak-ewma"`
@@ -49,6 +50,7 @@
 		AdminListen: types.Address(c.AdminListen),
 		Advertise:   types.Address(c.Advertise),
 		MaxBody:     c.MaxBody,
+		StopLinger:  c.StopLinger,
 		StopLimit:   c.StopLimit,
 		Seed:        seed,
 		Policies: core.Policies{
