Detect failures, spread news and join in bounded time and bytes

Cause: The table sorted and hashed all members for each message, suspected a peer after one lost probe, told its news in the order of names, forgot a version that it could not pull, and took every restart for a new delegate. Two halves of a partition never met again, and a node served before it knew its floor.

Change: Peers are probed once each in a shuffled order, and through three others before they are suspected. The suspicion time grows with the logarithm of the fleet. A record is ordered by the start of its process, its incarnation and its state; a claim that a member known alive is dead is checked with that member first. Dead members are tried again now and then and kept for six hours; left ones are not contacted. News goes out least sent first, within a number of items and bytes; versions held travel as short reports. Views are compared by an incremental hash, and by the hashes of 64 parts if they differ for long. A withdrawal and a version are passed on at once to three peers by each node that learns of them. A version that was not obtained is asked of others, with a growing pause. A node serves when it has read the platform's root, or when three peers that hold a configuration answered and the highest version of the live members is in force. A pause is noticed at the first event after it, and the node joins anew.

Ruled out: Trusting every claim of death, as after a partition each half would lose all its members until these refute; counting all records in the gossip of a full table, which costs 100 KB at 910 members.

--- a/codec/peer.go
+++ b/codec/peer.go
@@ -26,6 +26,10 @@
 		View:        message.View,
 		Full:        message.Full,
 		Stamp:       &peerv1.Stamp{WallMicros: stamp.Wall.UnixMicro(), Logical: stamp.Logical},
+		Buckets:     message.Buckets,
+	}
+	for _, report := range message.Reports {
+		wire.Reports = append(wire.Reports, &peerv1.Report{Instance: string(report.ID), Held: uint64(report.Held)})
 	}
 	for _, member := range message.Members {
 		wire.Members = append(wire.Members, memberToProto(member))
@@ -38,7 +42,7 @@
 	if wire.GetFrom() == "" || len(wire.GetFrom()) > maxNameLength {
 		return fleet.Message{}, trace.Stamp{}, fault.New(fault.InvalidInput, "peer message: the sender's name is missing or too long")
 	}
-	if len(wire.GetMembers()) > maxMembers {
+	if len(wire.GetMembers()) > maxMembers || len(wire.GetReports()) > maxMembers {
 		return fleet.Message{}, trace.Stamp{}, fault.New(fault.InvalidInput, "peer message: more than %d members", maxMembers)
 	}
 	message := fleet.Message{
@@ -48,6 +52,10 @@
 		Digest:      types.Hash(wire.GetDigest()),
 		View:        wire.GetView(),
 		Full:        wire.GetFull(),
+		Buckets:     wire.GetBuckets(),
+	}
+	for _, item := range wire.GetReports() {
+		message.Reports = append(message.Reports, fleet.Report{ID: types.InstanceID(item.GetInstance()), Held: types.Version(item.GetHeld())})
 	}
 	for _, item := range wire.GetMembers() {
 		member, err := memberFromProto(item)
@@ -71,6 +79,7 @@
 		Service:     string(member.Service),
 		Held:        uint64(member.Held),
 		Leaving:     member.Leaving,
+		GoneMillis:  member.GoneFor.Milliseconds(),
 	}
 	if !member.Started.IsZero() {
 		wire.StartedMillis = member.Started.UnixMilli()
@@ -105,6 +114,7 @@
 		Service:     types.ServiceName(wire.GetService()),
 		Held:        types.Version(wire.GetHeld()),
 		Leaving:     wire.GetLeaving(),
+		GoneFor:     time.Duration(max(0, wire.GetGoneMillis())) * time.Millisecond,
 	}
 	if millis := wire.GetStartedMillis(); millis != 0 {
 		member.Started = time.UnixMilli(millis)
--- a/core/entry.go
+++ b/core/entry.go
@@ -32,6 +32,9 @@
 	if st.stopping {
 		return conf.Route{}, fault.New(fault.Stopping, "the node is stopping").WithRetryAfter(comeBackSoon)
 	}
+	if !st.joined() {
+		return conf.Route{}, fault.New(fault.NotReady, "the node has not joined the fleet").WithRetryAfter(comeBackSoon)
+	}
 	if !st.conf.Ready() {
 		return conf.Route{}, fault.New(fault.NotReady, "no configuration at or above version %d is in force", st.conf.Floor()).
 			WithRetryAfter(comeBackSoon)
--- a/core/owner.go
+++ b/core/owner.go
@@ -83,6 +83,8 @@
 	switch {
 	case st.stopping:
 		return fault.New(fault.Stopping, "the upstream's node is stopping").WithRetryAfter(comeBackSoon)
+	case !st.joined():
+		return fault.New(fault.NotReady, "the upstream's node has not joined the fleet").WithRetryAfter(comeBackSoon)
 	case !st.upstream.known || st.upstream.announcement.Service != work.Service:
 		return fault.New(fault.NoUpstream, "the node owns no upstream of service %q", work.Service).WithRetryAfter(comeBackSoon)
 	case st.upstream.announcement.Leaving:
--- a/core/state.go
+++ b/core/state.go
@@ -23,6 +23,9 @@
 	calls    *flow.Table
 	upstream local
 	policies Policies
+	lastTick time.Time
+	// current is the version of the platform's root when it was last read.
+	current  types.Version
 	watching bool
 	stopping bool
 	drained  bool
@@ -81,11 +84,14 @@
 }
 
 // Ready reports whether the node may serve callers.
-func (st *State) Ready() bool { return st.conf.Ready() && !st.stopping }
+func (st *State) Ready() bool {
+	return st.conf.Ready() && st.joined() && !st.stopping
+}
 
 // Step applies one event and returns its effects in order.
 func (st *State) Step(event types.Event, now time.Time) []types.Effect {
-	effects := st.apply(event, now)
+	effects := st.noticePause(now)
+	effects = append(effects, st.apply(event, now)...)
 	return append(effects, st.checkDrained()...)
 }
 
@@ -104,7 +110,9 @@
 	case fleet.SeedsFound:
 		st.fleet.AddSeeds(ev)
 		return nil
-	case fleet.ExchangeReceived, fleet.ExchangeAnswered, fleet.ExchangeFailed:
+	case RootRead:
+		return st.rootRead(ev)
+	case fleet.ExchangeReceived, fleet.ExchangeAnswered, fleet.ExchangeFailed, fleet.ProbeEnded, fleet.PullEnded:
 		return st.exchanged(event, now)
 	case flow.CallArrived:
 		return st.callArrived(ev, now)
@@ -124,7 +132,9 @@
 }
 
 func (st *State) tick(now time.Time) []types.Effect {
+	st.lastTick = now
 	effects := st.fleet.Tick(now)
+	effects = append(effects, st.fleetEvents(effects)...)
 	effects = append(effects, st.refreshUpstream(now)...)
 	return append(effects, st.electDelegate()...)
 }
@@ -166,27 +176,17 @@
 		effects = st.fleet.Answered(ev, now)
 	case fleet.ExchangeFailed:
 		effects = st.fleet.Failed(ev, now)
+	case fleet.ProbeEnded:
+		effects = st.fleet.Probed(ev, now)
+	case fleet.PullEnded:
+		effects = st.fleet.Pulled(ev, now)
 	}
 	st.conf.RaiseFloor(st.fleet.Self().Held)
-	return append(effects, memberEvents(effects)...)
-}
-
-func memberEvents(effects []types.Effect) []types.Effect {
-	var events []types.Effect
-	for _, effect := range effects {
-		if changed, ok := effect.(fleet.StatusChanged); ok {
-			detail := changed.Member.Status.String()
-			if changed.Member.Leaving && changed.Member.Status == fleet.Alive {
-				detail = "leaving"
-			}
-			events = append(events, trace.Event{Kind: trace.MemberChanged, Subject: changed.Member.ID, Detail: detail})
-		}
-	}
-	return events
+	return append(effects, st.fleetEvents(effects)...)
 }
 
 func (st *State) electDelegate() []types.Effect {
-	delegate := st.fleet.IsDelegate() || st.policies.Spread == SpreadWatch && !st.stopping
+	delegate := st.fleet.Joined() && st.fleet.IsDelegate() || st.policies.Spread == SpreadWatch && !st.stopping
 	if delegate == st.watching {
 		return nil
 	}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -9,8 +9,11 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -68,6 +71,15 @@
 	Held types.Version
 	// Leaving states that the node takes no new work.
 	Leaving bool
+	// GoneFor is how long ago the member was found dead or left, as told in a
+	// message.
+	GoneFor time.Duration
+}
+
+// Report states the configuration version that a member holds.
+type Report struct {
+	ID   types.InstanceID
+	Held types.Version
 }
 
 // WithStatus returns a copy in another state.
@@ -107,10 +119,66 @@
 	return ok && !upstream.Leaving && !m.Leaving && m.Status == Alive
 }
 
-// overrides reports whether the record replaces an older belief.
+// WithStarted returns a copy of a process started at another instant.
+func (m Member) WithStarted(started time.Time) Member {
+	m.Started = started
+	return m
+}
+
+// WithGoneFor returns a copy that was found dead or left some time ago.
+func (m Member) WithGoneFor(age time.Duration) Member {
+	m.GoneFor = age
+	return m
+}
+
+// Gone reports whether the member is dead or left.
+func (m Member) Gone() bool { return m.Status == Dead || m.Status == Left }
+
+// overrides reports whether the record replaces an older belief: that of a
+// process started later, of a higher incarnation, or of a later state.
 func (m Member) overrides(old Member) bool {
+	if !m.Started.Equal(old.Started) {
+		return m.Started.After(old.Started)
+	}
 	if m.Incarnation != old.Incarnation {
 		return m.Incarnation > old.Incarnation
 	}
 	return m.Status > old.Status
 }
+
+// withdraws reports whether the record takes back an offer to do work.
+func (m Member) withdraws(old Member) bool {
+	return old.TakesWork() && !m.TakesWork() && m.Status != Suspect
+}
+
+// size returns an upper bound of the encoded record in bytes.
+func (m Member) size() int {
+	const fixed = 88
+	return fixed + len(m.ID) + len(m.Address) + len(m.Zone) + len(m.Region) + len(m.Service)
+}
+
+// hash returns a hash of all that the nodes must agree on.
+func (m Member) hash() uint64 {
+	const room = 256
+	buffer := make([]byte, 0, room)
+	for _, text := range []string{string(m.ID), string(m.Address), string(m.Zone), string(m.Region), string(m.Service)} {
+		buffer = append(append(buffer, text...), 0)
+	}
+	upstream, _ := m.Upstream.Get()
+	numbers := []uint64{
+		m.Incarnation, uint64(m.Status), uint64(m.Held), uint64(m.Started.UnixMilli()), flag(m.Leaving),
+		flag(m.Upstream.IsSome()), flag(upstream.Leaving), uint64(upstream.Slots), uint64(upstream.Connections),
+		uint64(upstream.WarmUp.Milliseconds()), uint64(upstream.ReadyAt.UnixMilli()),
+	}
+	for _, number := range numbers {
+		buffer = binary.LittleEndian.AppendUint64(buffer, number)
+	}
+	return xxhash.Sum64(buffer)
+}
+
+func flag(set bool) uint64 {
+	if set {
+		return 1
+	}
+	return 0
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -13,22 +13,49 @@
 	Digest  types.Hash
 	// View is the hash of the sender's table.
 	View uint64
-	// Members are the records that the sender passes on.
+	// Members are the records that the sender passes on, its own first.
 	Members []Member
+	// Reports are the versions of members whose records have not changed.
+	Reports []Report
 	// Full asks for, or marks, a message with all records.
 	Full bool
+	// Buckets are the hashes of the parts of the sender's table. They ask for
+	// the records of the parts that differ.
+	Buckets []uint64
 }
 
 // SendExchange is the effect to send a message to a peer.
 type SendExchange struct {
 	Peer    types.InstanceID
 	Address types.Address
+	Epoch   uint64
 	Message Message
 }
 
 // Effect marks the type as an effect.
 func (SendExchange) Effect() {}
 
+// ProbeThrough is the effect to ask a third node whether it reaches a peer.
+type ProbeThrough struct {
+	Peer       types.InstanceID
+	Address    types.Address
+	Via        types.InstanceID
+	ViaAddress types.Address
+}
+
+// Effect marks the type as an effect.
+func (ProbeThrough) Effect() {}
+
+// ProbeEnded is the event that a third node answered, or did not.
+type ProbeEnded struct {
+	Peer    types.InstanceID
+	Via     types.InstanceID
+	Reached bool
+}
+
+// Event marks the type as an event.
+func (ProbeEnded) Event() {}
+
 // ReplyExchange is the effect to answer a received message.
 type ReplyExchange struct {
 	Token   uint64
@@ -48,6 +75,30 @@
 // Effect marks the type as an effect.
 func (PullConfig) Effect() {}
 
+// PullEnded is the event that a pull is over, whether or not it brought a
+// configuration.
+type PullEnded struct {
+	Peer    types.InstanceID
+	Version types.Version
+}
+
+// Event marks the type as an event.
+func (PullEnded) Event() {}
+
+// Superseded is the effect that a process of this instance that started later
+// has taken its place.
+type Superseded struct{ By Member }
+
+// Effect marks the type as an effect.
+func (Superseded) Effect() {}
+
+// Duplicated is the effect that a process still runs though a later one of
+// the same instance has taken its place.
+type Duplicated struct{ Older Member }
+
+// Effect marks the type as an effect.
+func (Duplicated) Effect() {}
+
 // StatusChanged is the effect that the belief about a member changed.
 type StatusChanged struct{ Member Member }
 
@@ -67,6 +118,8 @@
 type ExchangeAnswered struct {
 	Peer    types.InstanceID
 	Address types.Address
+	// Epoch is that of the message that was answered.
+	Epoch   uint64
 	Message Message
 }
 
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -29,16 +29,32 @@
 	return formers
 }
 
-// Owners returns the live members that own an upstream of a service, ordered
-// by instance.
+// Serving returns the live members that own an upstream of a service, ordered
+// by instance. The result must not be changed.
+func (tb *Table) Serving(service types.ServiceName) []Member {
+	serving, ok := tb.services[service]
+	if ok || service == "" {
+		return serving
+	}
+	serving = tb.owners(func(member *Member) bool { return member.Service == service })
+	tb.services[service] = serving
+	return serving
+}
+
+// Owners returns the live members that own an upstream and match, ordered by
+// instance.
 func (tb *Table) Owners(match func(Member) bool) []Member {
+	return tb.owners(func(member *Member) bool { return match(*member) })
+}
+
+func (tb *Table) owners(match func(*Member) bool) []Member {
 	var owners []Member
-	for _, member := range tb.members {
-		if member.TakesWork() && match(member) {
-			owners = append(owners, member)
+	for _, rc := range tb.contacts.items {
+		if rc.member.TakesWork() && match(&rc.member) {
+			owners = append(owners, rc.member)
 		}
 	}
-	if tb.self.TakesWork() && match(tb.self) {
+	if tb.self.TakesWork() && match(&tb.self) {
 		owners = append(owners, tb.self)
 	}
 	slices.SortFunc(owners, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -2,53 +2,88 @@
 
 import (
 	"cmp"
-	"hash/fnv"
-	"maps"
-	"math/bits"
+	"math"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
 
 	"sequoiamill.example/sequoiamill/types"
 )
 
 const (
-	exchangeInterval = time.Second
-	suspicionTimeout = 4 * time.Second
-	seedInterval     = 2 * time.Second
-	maxUpdates       = 32
-	pushFanOut       = 3
+	// bucketCount is the number of parts of a table that are compared.
+	bucketCount = 64
+	// goneRetention is how long dead and left members are remembered and
+	// compared with other nodes.
+	goneRetention = 6 * time.Hour
+	// goneMargin is how much longer they are remembered, so that no node
+	// learns anew what another is about to forget.
+	goneMargin      = 10 * time.Minute
+	formerRetention = 24 * time.Hour
+	sweepInterval   = 10 * time.Second
+	// suspicionUnit is the suspicion time in a fleet of ten nodes or fewer.
+	suspicionUnit = 4 * time.Second
 )
 
 // Table is one node's view of the fleet.
 type Table struct {
 	self     Member
-	members  map[types.InstanceID]Member
-	suspects map[types.InstanceID]time.Time
-	queue    map[types.InstanceID]int
-	seeds    map[types.Address]struct{}
+	selfHash uint64
+	records  map[types.InstanceID]*record
+	buckets  [bucketCount][]*record
+	sums     [bucketCount]uint64
+	// contacts are the members that are alive or suspected, fallen the dead.
+	contacts bag
+	fallen   bag
+	suspects []*record
+	doubts   []*record
+	indirect []*record
+	queue    queue
+	seeds    []types.Address
+	seedSet  map[types.Address]struct{}
 	former   map[types.InstanceID]Former
+	services map[types.ServiceName][]Member
 	version  types.Version
 	digest   types.Hash
 	rand     *rand.Rand
-	next     time.Time
-	nextSeed time.Time
+	timing   timing
+	joining  joining
+	want     want
 	pushes   int
+	tokens   int
+	// delegate holds whether the node is a delegate, unless stale.
+	delegate      bool
+	delegateStale bool
+	// settled states that the view has stopped growing.
+	settled bool
+}
+
+// timing holds when the periodic decisions fall due.
+type timing struct {
+	probe   time.Time
+	contact time.Time
+	token   time.Time
+	sweep   time.Time
+	sync    time.Time
+	// grown is when the fleet last grew by much, and size how far.
+	grown       time.Time
+	size        int
+	differSince time.Time
 }
 
 // NewTable returns a table that knows only the node itself.
 func NewTable(self Member, source *rand.Rand) *Table {
 	tb := &Table{
-		self:     self.WithStatus(Alive),
-		members:  map[types.InstanceID]Member{},
-		suspects: map[types.InstanceID]time.Time{},
-		queue:    map[types.InstanceID]int{},
-		seeds:    map[types.Address]struct{}{},
-		former:   map[types.InstanceID]Former{},
-		rand:     source,
+		records:       map[types.InstanceID]*record{},
+		seedSet:       map[types.Address]struct{}{},
+		former:        map[types.InstanceID]Former{},
+		services:      map[types.ServiceName][]Member{},
+		rand:          source,
+		tokens:        maxTokens,
+		delegateStale: true,
 	}
-	tb.enqueue(self.ID)
+	tb.joining.begin(1)
+	tb.setSelf(self.WithStatus(Alive))
 	return tb
 }
 
@@ -60,276 +95,233 @@
 	if id == tb.self.ID {
 		return tb.self, true
 	}
-	member, ok := tb.members[id]
-	return member, ok
+	rc, ok := tb.records[id]
+	if !ok {
+		return Member{}, false
+	}
+	return rc.member, true
+}
+
+// Live returns the number of other members that are not gone.
+func (tb *Table) Live() int { return len(tb.contacts.items) }
+
+// GoneSince returns when a member was found dead or left.
+func (tb *Table) GoneSince(id types.InstanceID) (time.Time, bool) {
+	rc, ok := tb.records[id]
+	if !ok || !rc.member.Gone() {
+		return time.Time{}, false
+	}
+	return rc.goneAt, true
 }
 
 // Members returns all records ordered by instance.
 func (tb *Table) Members() []Member {
-	all := slices.Collect(maps.Values(tb.members))
-	all = append(all, tb.self)
+	all := append(make([]Member, 0, len(tb.records)+1), tb.self)
+	for _, rc := range tb.records {
+		all = append(all, rc.member)
+	}
 	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
+// View returns a hash of all records, independent of their order.
+func (tb *Table) View() uint64 {
+	sum := uint64(0)
+	for _, part := range tb.sums {
+		sum ^= part
+	}
+	return sum
+}
+
 // Hold records the configuration in force on this node and pushes the news.
 func (tb *Table) Hold(version types.Version, digest types.Hash) {
 	tb.version, tb.digest = version, digest
-	tb.self = tb.self.WithHeld(version)
-	tb.enqueue(tb.self.ID)
-	tb.pushes = pushFanOut
+	tb.setSelf(tb.self.WithHeld(version))
+	tb.want.met(version)
+	tb.urge()
 }
 
 // SetUpstream changes the upstream that this node owns.
 func (tb *Table) SetUpstream(service types.ServiceName, upstream types.Option[Upstream]) {
-	tb.self = tb.self.WithUpstream(service, upstream)
-	tb.announce()
+	tb.announce(tb.self.WithUpstream(service, upstream))
 }
 
 // Leave marks this node as taking no new work.
-func (tb *Table) Leave() {
-	tb.self = tb.self.WithLeaving()
-	tb.announce()
-}
+func (tb *Table) Leave() { tb.announce(tb.self.WithLeaving()) }
 
 // Depart marks this node as gone.
-func (tb *Table) Depart() {
-	tb.self = tb.self.WithStatus(Left)
-	tb.announce()
-}
+func (tb *Table) Depart() { tb.announce(tb.self.WithStatus(Left)) }
 
-func (tb *Table) announce() {
-	tb.self = tb.self.WithIncarnation(tb.self.Incarnation + 1)
-	tb.enqueue(tb.self.ID)
-	tb.pushes = pushFanOut
+func (tb *Table) announce(self Member) {
+	tb.setSelf(self.WithIncarnation(self.Incarnation + 1))
+	tb.urge()
 }
 
-// AddSeeds records addresses of possible peers.
-func (tb *Table) AddSeeds(seeds SeedsFound) {
-	for _, address := range seeds.Addresses {
-		if address != tb.self.Address {
-			tb.seeds[address] = struct{}{}
-		}
-	}
-	tb.nextSeed = time.Time{}
+// urge makes the next tick push news to a few peers.
+func (tb *Table) urge() { tb.pushes = pushFanOut }
+
+func (tb *Table) setSelf(self Member) {
+	bucket := bucketOf(self.ID)
+	old := tb.self
+	hash := self.hash()
+	tb.sums[bucket] ^= tb.selfHash ^ hash
+	tb.self, tb.selfHash = self, hash
+	tb.delegateStale = true
+	tb.changeService(old, self)
 }
 
-// Tick sends the exchanges that are due and ends suspicions.
-func (tb *Table) Tick(now time.Time) []types.Effect {
-	effects := tb.expire(now)
-	effects = append(effects, tb.Push()...)
-	if now.Before(tb.next) {
-		return effects
+// changeService forgets the list of a service's members that it affects.
+func (tb *Table) changeService(old, member Member) {
+	if old.Service != "" {
+		delete(tb.services, old.Service)
 	}
-	tb.next = now.Add(exchangeInterval)
-	if peer, ok := tb.randomPeer(); ok {
-		effects = append(effects, tb.send(peer.ID, peer.Address, false))
+	if member.Service != "" {
+		delete(tb.services, member.Service)
 	}
-	if !now.Before(tb.nextSeed) {
-		tb.nextSeed = now.Add(seedInterval)
-		effects = append(effects, tb.contactSeed()...)
-	}
-	return effects
 }
 
-// Push sends the exchanges that spread urgent news.
-func (tb *Table) Push() []types.Effect {
-	var effects []types.Effect
-	for ; tb.pushes > 0; tb.pushes-- {
-		if peer, ok := tb.randomPeer(); ok {
-			effects = append(effects, tb.send(peer.ID, peer.Address, false))
-		}
-	}
-	return effects
+// suspicionTimeout grows with the logarithm of the size of the fleet, as the
+// time that news takes to reach all members does.
+func (tb *Table) suspicionTimeout() time.Duration {
+	scale := math.Log10(float64(len(tb.contacts.items) + 1))
+	return time.Duration(float64(suspicionUnit) * max(1, scale))
 }
 
-func (tb *Table) contactSeed() []types.Effect {
-	known := map[types.Address]bool{}
-	for _, member := range tb.members {
-		known[member.Address] = member.Status == Alive
+// store replaces a member's record.
+func (tb *Table) store(member Member, now time.Time) []types.Effect {
+	rc, known := tb.records[member.ID]
+	if !known {
+		rc = &record{bucket: bucketOf(member.ID), slot: -1}
+		tb.records[member.ID] = rc
+		tb.buckets[rc.bucket] = append(tb.buckets[rc.bucket], rc)
 	}
-	var unknown []types.Address
-	for address := range tb.seeds {
-		if !known[address] {
-			unknown = append(unknown, address)
-		}
+	old := rc.member
+	if old.Zone != member.Zone {
+		rc.rank = rank(member.ID, member.Zone)
 	}
-	if len(unknown) == 0 {
-		return nil
+	age := member.GoneFor
+	member.GoneFor = 0
+	rc.claim = types.None[Member]()
+	tb.replace(rc, member)
+	tb.place(rc, old)
+	tb.remember(old, member, now)
+	tb.changeService(old, member)
+	tb.delegateStale = true
+	tb.queue.put(rc, true)
+	if member.Status == Suspect {
+		tb.beginSuspicion(rc, old, now)
 	}
-	slices.Sort(unknown)
-	address := unknown[tb.rand.IntN(len(unknown))]
-	return []types.Effect{tb.send("", address, true)}
-}
-
-func (tb *Table) expire(now time.Time) []types.Effect {
-	var effects []types.Effect
-	for _, id := range slices.Sorted(maps.Keys(tb.suspects)) {
-		if now.Before(tb.suspects[id]) {
-			continue
-		}
-		delete(tb.suspects, id)
-		if member := tb.members[id]; member.Status == Suspect {
-			effects = append(effects, tb.store(member.WithStatus(Dead), now)...)
-		}
+	if member.Gone() && !old.Gone() {
+		rc.goneAt = now.Add(-age)
 	}
-	return effects
-}
-
-func (tb *Table) randomPeer() (Member, bool) {
-	var live []Member
-	for _, member := range tb.members {
-		if member.Status == Alive || member.Status == Suspect {
-			live = append(live, member)
-		}
+	if known && member.withdraws(old) || member.Status == Alive && old.Status == Suspect {
+		tb.urge()
 	}
-	if len(live) == 0 {
-		return Member{}, false
+	if old.Status == member.Status && old.Leaving == member.Leaving && old.Started.Equal(member.Started) {
+		return nil
 	}
-	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	return live[tb.rand.IntN(len(live))], true
-}
-
-func (tb *Table) send(id types.InstanceID, address types.Address, full bool) types.Effect {
-	return SendExchange{Peer: id, Address: address, Message: tb.message(full)}
+	return []types.Effect{StatusChanged{Member: member}}
 }
 
-func (tb *Table) message(full bool) Message {
-	message := Message{
-		From:        tb.self.ID,
-		Incarnation: tb.self.Incarnation,
-		Version:     tb.version,
-		Digest:      tb.digest,
-		View:        tb.view(),
-		Full:        full,
-	}
-	if full {
-		message.Members = tb.Members()
-		return message
+func (tb *Table) beginSuspicion(rc *record, old Member, now time.Time) {
+	if old.Status == Suspect && old.Incarnation == rc.member.Incarnation {
+		return
 	}
-	message.Members = tb.updates()
-	return message
-}
-
-func (tb *Table) updates() []Member {
-	var updates []Member
-	for _, id := range slices.Sorted(maps.Keys(tb.queue)) {
-		if len(updates) == maxUpdates {
-			break
-		}
-		member, ok := tb.Member(id)
-		if ok {
-			updates = append(updates, member)
-		}
-		if tb.queue[id]--; tb.queue[id] <= 0 {
-			delete(tb.queue, id)
-		}
+	rc.suspectUntil = now.Add(tb.suspicionTimeout())
+	if old.Status != Suspect {
+		tb.suspects = append(tb.suspects, rc)
 	}
-	return updates
-}
-
-func (tb *Table) enqueue(id types.InstanceID) {
-	tb.queue[id] = 4 * (1 + bits.Len(uint(len(tb.members))))
-}
-
-// Received merges a peer's message and answers it.
-func (tb *Table) Received(event ExchangeReceived, now time.Time) []types.Effect {
-	effects := tb.merge(event.Message, now)
-	full := event.Message.Full || event.Message.View != tb.view() && len(tb.queue) == 0
-	reply := ReplyExchange{Token: event.Token, Message: tb.message(full)}
-	return append(effects, reply)
 }
 
-// Answered merges a peer's answer.
-func (tb *Table) Answered(event ExchangeAnswered, now time.Time) []types.Effect {
-	return tb.merge(event.Message, now)
-}
-
-// Failed suspects a peer that did not answer.
-func (tb *Table) Failed(event ExchangeFailed, now time.Time) []types.Effect {
-	member, ok := tb.members[event.Peer]
-	if !ok || member.Status != Alive {
-		return nil
+// replace changes a record and the hashes that cover it.
+func (tb *Table) replace(rc *record, member Member) {
+	hash := member.hash()
+	tb.sums[rc.bucket] ^= hash
+	if rc.counted {
+		tb.sums[rc.bucket] ^= rc.hash
 	}
-	return tb.store(member.WithStatus(Suspect), now)
+	rc.member, rc.hash, rc.counted = member, hash, true
 }
 
-func (tb *Table) merge(message Message, now time.Time) []types.Effect {
-	var effects []types.Effect
-	for _, member := range message.Members {
-		effects = append(effects, tb.learn(member, now)...)
+// place puts a record in the bag of its state.
+func (tb *Table) place(rc *record, old Member) {
+	from, to := tb.bagOf(old), tb.bagOf(rc.member)
+	if from == to && rc.slot >= 0 {
+		return
 	}
-	sender, ok := tb.members[message.From]
-	if ok && sender.Held < message.Version {
-		tb.members[message.From] = sender.WithHeld(message.Version)
+	if rc.slot >= 0 {
+		from.remove(rc)
 	}
-	if ok && message.Version > tb.version {
-		effects = append(effects, PullConfig{Peer: sender.ID, Address: sender.Address, Version: message.Version})
+	if to != nil {
+		to.add(rc, tb.rand)
 	}
-	return effects
 }
 
-func (tb *Table) learn(member Member, now time.Time) []types.Effect {
-	if member.ID == tb.self.ID {
-		tb.refute(member)
+func (tb *Table) bagOf(member Member) *bag {
+	switch member.Status {
+	case Alive, Suspect:
+		return &tb.contacts
+	case Dead:
+		return &tb.fallen
+	default:
 		return nil
 	}
-	old, known := tb.members[member.ID]
-	if known && !member.overrides(old) {
-		if member.Held > old.Held {
-			tb.members[member.ID] = old.WithHeld(member.Held)
-			tb.enqueue(member.ID)
-		}
-		return nil
+}
+
+// remember keeps a member that no longer takes work, or whose process was
+// replaced.
+func (tb *Table) remember(old, member Member, now time.Time) {
+	same := member.TakesWork() && member.Started.Equal(old.Started)
+	if old.TakesWork() && !same {
+		tb.former[member.ID] = Former{Member: old, Until: now}
 	}
-	return tb.store(member.WithHeld(old.Held), now)
 }
 
-func (tb *Table) refute(claim Member) {
-	tb.self = tb.self.WithHeld(claim.Held)
-	if tb.self.Status == Left {
+// raiseHeld records the version that a member reported.
+func (tb *Table) raiseHeld(rc *record, held types.Version) {
+	if held <= rc.member.Held {
 		return
 	}
-	if claim.Incarnation > tb.self.Incarnation || claim.Incarnation == tb.self.Incarnation && claim.Status != Alive {
-		tb.self = tb.self.WithIncarnation(claim.Incarnation + 1)
-		tb.enqueue(tb.self.ID)
+	if rc.counted {
+		tb.replace(rc, rc.member.WithHeld(held))
+	} else {
+		rc.member = rc.member.WithHeld(held)
 	}
+	tb.queue.put(rc, false)
 }
 
-func (tb *Table) store(member Member, now time.Time) []types.Effect {
-	old := tb.members[member.ID]
-	tb.members[member.ID] = member
-	same := member.TakesWork() && member.Started.Equal(old.Started)
-	if old.TakesWork() && !same {
-		tb.former[member.ID] = Former{Member: old, Until: now}
+// sweep forgets what has been kept long enough.
+func (tb *Table) sweep(now time.Time) {
+	if now.Before(tb.timing.sweep) {
+		return
 	}
-	tb.enqueue(member.ID)
-	delete(tb.suspects, member.ID)
-	if member.Status == Suspect {
-		tb.suspects[member.ID] = now.Add(suspicionTimeout)
+	tb.timing.sweep = now.Add(sweepInterval)
+	for id, rc := range tb.records {
+		age := now.Sub(rc.goneAt)
+		if !rc.member.Gone() || age < goneRetention {
+			continue
+		}
+		if rc.counted {
+			rc.counted = false
+			tb.sums[rc.bucket] ^= rc.hash
+		}
+		if age >= goneRetention+goneMargin {
+			tb.forget(id, rc)
+		}
 	}
-	if old.Status == member.Status && old.Leaving == member.Leaving {
-		return nil
+	for id, former := range tb.former {
+		if now.Sub(former.Until) > formerRetention {
+			delete(tb.former, id)
+		}
 	}
-	return []types.Effect{StatusChanged{Member: member}}
 }
 
-// view returns an order-independent hash of all records.
-func (tb *Table) view() uint64 {
-	sum := hashMember(tb.self)
-	for _, member := range tb.members {
-		sum ^= hashMember(member)
+func (tb *Table) forget(id types.InstanceID, rc *record) {
+	if rc.slot >= 0 {
+		tb.bagOf(rc.member).remove(rc)
 	}
-	return sum
-}
-
-func hashMember(member Member) uint64 {
-	hash := fnv.New64a()
-	text := make([]byte, 0, 64)
-	text = append(text, member.ID...)
-	text = strconv.AppendUint(append(text, '|'), member.Incarnation, 10)
-	text = strconv.AppendInt(append(text, '|'), int64(member.Status), 10)
-	text = strconv.AppendUint(append(text, '|'), uint64(member.Held), 10)
-	_, _ = hash.Write(text)
-	return hash.Sum64()
+	tb.queue.drop(rc)
+	delete(tb.records, id)
+	part := tb.buckets[rc.bucket]
+	tb.buckets[rc.bucket] = slices.DeleteFunc(part, func(other *record) bool { return other == rc })
 }
--- a/node/effect.go
+++ b/node/effect.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/core"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
@@ -14,7 +15,10 @@
 
 const (
 	exchangeTimeout = 500 * time.Millisecond
+	indirectTimeout = 2 * exchangeTimeout
 	pullTimeout     = 5 * time.Second
+	// maxPulls bounds the pulls that are served at once.
+	maxPulls = 4
 )
 
 // run carries out one effect without blocking.
@@ -33,8 +37,14 @@
 		go nd.exchange(ef)
 	case fleet.ReplyExchange:
 		nd.waiters.answer(ef.Token, ef.Message)
+	case fleet.ProbeThrough:
+		go nd.probeThrough(ef)
 	case fleet.PullConfig:
 		go nd.pull(ef)
+	case fleet.Superseded:
+		nd.supersede()
+	case core.ReadRoot:
+		nd.rootAsked(ef.Epoch)
 	case core.WatchPlatform:
 		nd.watch.set(nd, ef.On)
 	case core.Drained:
@@ -65,24 +75,30 @@
 		nd.loop.post(fleet.ExchangeFailed{Peer: effect.Peer, Address: effect.Address})
 		return
 	}
-	nd.loop.post(fleet.ExchangeAnswered{Peer: effect.Peer, Address: effect.Address, Message: answer})
+	nd.loop.post(fleet.ExchangeAnswered{Peer: effect.Peer, Address: effect.Address, Epoch: effect.Epoch, Message: answer})
 }
 
-// pull fetches a configuration from a peer, one at a time.
+// probeThrough asks a third node whether it reaches a peer.
+func (nd *Node) probeThrough(effect fleet.ProbeThrough) {
+	ctx, cancel := context.WithTimeout(nd.life, indirectTimeout)
+	defer cancel()
+	reached, err := nd.peers.Probe(ctx, effect.ViaAddress, effect.Peer, effect.Address)
+	nd.loop.post(fleet.ProbeEnded{Peer: effect.Peer, Via: effect.Via, Reached: err == nil && reached})
+}
+
+// pull fetches a configuration from a peer.
 func (nd *Node) pull(effect fleet.PullConfig) {
-	nd.pulling.Lock()
-	defer nd.pulling.Unlock()
-	if nd.view().Version >= effect.Version {
+	defer nd.loop.post(fleet.PullEnded{Peer: effect.Peer, Version: effect.Version})
+	if nd.version() >= effect.Version {
 		return
 	}
 	ctx, cancel := context.WithTimeout(nd.life, pullTimeout)
 	defer cancel()
 	nd.meters.count(trace.ConfigPulls)
 	bundle, err := nd.peers.Pull(ctx, effect.Address, nd.bundle())
-	if err != nil {
-		return
+	if err == nil {
+		nd.offer(bundle, effect.Version)
 	}
-	nd.offer(bundle, effect.Version)
 }
 
 // waiters matches the reducer's answers to the peers that wait for them.
@@ -126,11 +142,31 @@
 	}
 }
 
-func (nd *Node) probe(ctx context.Context, _ types.InstanceID, address types.Address) bool {
-	var message fleet.Message
-	nd.loop.read(func(state *core.State) {
-		message = fleet.Message{From: nd.settings.Instance, View: 0, Version: state.Conf().Current().Version()}
-	})
-	_, err := nd.peers.Exchange(ctx, address, message)
-	return err == nil
+// probe reports whether a third node answers, and is the one asked for.
+func (nd *Node) probe(ctx context.Context, id types.InstanceID, address types.Address) bool {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	answer, err := nd.peers.Exchange(ctx, address, fleet.Message{From: nd.settings.Instance})
+	return err == nil && answer.From == id
+}
+
+// version returns the version in force.
+func (nd *Node) version() types.Version {
+	var version types.Version
+	nd.loop.read(func(state *core.State) { version = state.Conf().Current().Version() })
+	return version
+}
+
+// servePull returns the configuration in force, or refuses if too many peers
+// are being served.
+func (nd *Node) servePull() (conf.Bundle, error) {
+	select {
+	case nd.pulls <- struct{}{}:
+		defer func() { <-nd.pulls }()
+	default:
+		nd.meters.count(trace.PullsRefused)
+		return conf.Bundle{}, fault.New(fault.Overloaded, "%d pulls are being served", maxPulls).WithRetryAfter(pullTimeout)
+	}
+	nd.meters.count(trace.PullsServed)
+	return nd.bundle(), nil
 }
--- a/node/handler.go
+++ b/node/handler.go
@@ -27,7 +27,7 @@
 		Clock:    nd.clock,
 		Now:      nd.now,
 		Exchange: nd.serveExchange,
-		Pull:     nd.bundle,
+		Pull:     nd.servePull,
 		Probe:    nd.probe,
 		Meter:    nd.meters.control,
 	}))
--- a/node/node.go
+++ b/node/node.go
@@ -4,12 +4,12 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"sequoiamill.example/sequoiamill/admin"
 	"sequoiamill.example/sequoiamill/conf"
@@ -50,7 +50,14 @@
 	drained chan struct{}
 	life    context.Context
 	watch   watcher
-	pulling sync.Mutex
+	// pulls holds a place for each pull being served.
+	pulls     chan struct{}
+	bodyReads *rate.Limiter
+	// recorded states that the directory record was written.
+	recorded bool
+	// superseded ends when a later process takes this one's place.
+	superseded context.Context
+	supersede  context.CancelFunc
 
 	callerListener net.Listener
 	peerListener   net.Listener
@@ -84,7 +91,11 @@
 		ring:     trace.NewRing(timelineSize),
 		meters:   newMeters(),
 		drained:  make(chan struct{}),
+		pulls:    make(chan struct{}, maxPulls),
+
+		bodyReads: rate.NewLimiter(bodyReads, bodyReads),
 	}
+	nd.superseded, nd.supersede = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(nd)
 	}
@@ -202,6 +213,7 @@
 func (nd *Node) awaitStop(asked, life context.Context) error {
 	select {
 	case <-asked.Done():
+	case <-nd.superseded.Done():
 	case <-life.Done():
 		return nil
 	}
--- a/node/platform.go
+++ b/node/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -10,20 +9,26 @@
 	"sequoiamill.example/sequoiamill/admin"
 	"sequoiamill.example/sequoiamill/codec"
 	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/core"
 	"sequoiamill.example/sequoiamill/fault"
-	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/plat"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
 )
 
 const (
-	platformPause   = 500 * time.Millisecond
-	platformTimeout = 5 * time.Second
-	joinInterval    = 30 * time.Second
-	aloneInterval   = time.Second
-	leaveTimeout    = time.Second
-	leavePause      = 300 * time.Millisecond
+	platformPause    = 500 * time.Millisecond
+	maxPlatformPause = 30 * time.Second
+	platformTimeout  = 5 * time.Second
+	// fetchTimeout bounds the reads of all bodies that a root names.
+	fetchTimeout = time.Minute
+	// bodyReads bounds the reads of bodies, in calls a second.
+	bodyReads = 100
+	// fetchDelay is how long a node that does not watch the platform waits
+	// for a peer to pass on a version before it reads the bodies itself.
+	fetchDelay   = 15 * time.Second
+	leaveTimeout = time.Second
+	leavePause   = 300 * time.Millisecond
 )
 
 // watcher runs at most one watch of the platform's root.
@@ -32,6 +37,13 @@
 	cancel context.CancelFunc
 }
 
+// running reports whether the node watches the platform.
+func (wr *watcher) running() bool {
+	wr.mu.Lock()
+	defer wr.mu.Unlock()
+	return wr.cancel != nil
+}
+
 func (wr *watcher) set(nd *Node, on bool) {
 	wr.mu.Lock()
 	defer wr.mu.Unlock()
@@ -48,12 +60,16 @@
 }
 
 func (nd *Node) watchRoot(ctx context.Context) {
+	pause := newBackoff()
 	for ctx.Err() == nil {
-		err := nd.store.Watch(ctx, plat.RootName, func(object plat.Object) { nd.rootSeen(ctx, object) })
+		err := nd.store.Watch(ctx, plat.RootName, func(object plat.Object) {
+			pause.reset()
+			nd.rootSeen(ctx, object)
+		})
 		if ctx.Err() == nil {
 			nd.event(trace.Event{Kind: trace.PlatformFailed, Detail: fault.From(err).Error()})
 		}
-		sleep(ctx, jitter(platformPause))
+		pause.sleep(ctx)
 	}
 }
 
@@ -62,12 +78,12 @@
 	if object.Revision == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	offer := conf.Offered{Digest: codec.HashOf(object.Body), Platform: true}
 	root, err := codec.ReadRoot(object.Body)
 	offer.Version = root.Version
-	if err == nil && root.Version > nd.view().Version {
+	if err == nil && root.Version > nd.version() {
 		offer.Snapshot, err = nd.fetch(ctx, object)
 	}
 	offer.Err = fault.From(err)
@@ -75,7 +91,14 @@
 }
 
 func (nd *Node) fetch(ctx context.Context, object plat.Object) (conf.Snapshot, error) {
-	bundle, err := admin.FetchBundle(ctx, nd.store, object.Body, nd.bundle())
+	limited := *nd.store
+	limited.Get = func(ctx context.Context, name plat.Name) (plat.Object, error) {
+		if err := nd.bodyReads.Wait(ctx); err != nil {
+			return plat.Object{}, fault.Wrap(fault.PlatformUnavailable, err, "wait to read a body")
+		}
+		return nd.store.Get(ctx, name)
+	}
+	bundle, err := admin.FetchBundle(ctx, &limited, object.Body, nd.bundle())
 	if err != nil {
 		return conf.Snapshot{}, err
 	}
@@ -88,95 +111,48 @@
 	nd.loop.post(conf.Offered{Snapshot: snap, Version: version, Err: fault.From(err)})
 }
 
-// readRoot reads the platform's root once.
-func (nd *Node) readRoot(ctx context.Context) {
-	object, err := nd.store.Get(ctx, plat.RootName)
-	if err == nil {
-		nd.rootSeen(ctx, object)
-	}
-}
-
-type recordWire struct {
-	Instance string `json:"instance"`
-	Address  string `json:"address"`
-	Zone     string `json:"zone"`
-}
-
-func (nd *Node) recordName() plat.Name {
-	return plat.Name{Kind: plat.RecordKind, Name: string(nd.settings.Instance)}
-}
+// rootAsked starts reading the platform's root for a join.
+func (nd *Node) rootAsked(epoch uint64) { go nd.joinByRoot(nd.life, epoch) }
 
-// join writes the node's directory record and learns those of others.
-func (nd *Node) join(ctx context.Context) error {
-	nd.loop.post(fleet.SeedsFound{Addresses: nd.settings.Peers})
-	for ctx.Err() == nil {
-		if err := nd.register(ctx); err != nil {
-			sleep(ctx, jitter(platformPause))
-			continue
-		}
-		if nd.alone() {
-			sleep(ctx, jitter(aloneInterval))
-			continue
-		}
-		sleep(ctx, jitter(joinInterval))
+// joinByRoot reads the platform's root until it is known. The bodies come from
+// peers, or from the platform if no peer passes them on.
+func (nd *Node) joinByRoot(ctx context.Context, epoch uint64) {
+	object, err := nd.untilRoot(ctx)
+	if err != nil {
+		return
 	}
-	return nil
-}
-
-// alone reports whether no other live node is known.
-func (nd *Node) alone() bool {
-	for _, member := range nd.view().Members {
-		if member.ID != nd.settings.Instance && member.Status == fleet.Alive {
-			return false
-		}
+	root, _ := codec.ReadRoot(object.Body)
+	nd.loop.post(core.RootRead{Epoch: epoch, Version: root.Version})
+	if nd.version() >= root.Version && root.Version != 0 || object.Revision == "" {
+		return
+	}
+	sleep(ctx, jitter(fetchDelay))
+	if nd.version() < root.Version || root.Version == 0 {
+		nd.readRoot(ctx)
 	}
-	return true
 }
 
-func (nd *Node) register(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
-	objects, err := nd.store.List(ctx, plat.RecordKind)
-	if err != nil {
-		return err
-	}
-	var seeds []types.Address
-	own := plat.Object{Name: nd.recordName()}
-	var ownWire recordWire
-	for _, object := range objects {
-		var wire recordWire
-		if json.Unmarshal(object.Body, &wire) != nil || wire.Address == "" {
-			continue
+// untilRoot returns the root, which is empty if there is none.
+func (nd *Node) untilRoot(ctx context.Context) (plat.Object, error) {
+	pause := newBackoff()
+	for {
+		object, err := nd.store.Get(ctx, plat.RootName)
+		if err == nil || fault.Is(err, fault.NotFound) {
+			return object, nil
 		}
-		if object.Name == own.Name {
-			own, ownWire = object, wire
-			continue
+		if ctx.Err() != nil {
+			return plat.Object{}, ctx.Err()
 		}
-		seeds = append(seeds, types.Address(wire.Address))
-	}
-	nd.loop.post(fleet.SeedsFound{Addresses: seeds})
-	wire := recordWire{Instance: string(nd.settings.Instance), Address: string(nd.PeerAddress()), Zone: string(nd.settings.Zone)}
-	if wire == ownWire {
-		return nil
-	}
-	body, err := json.Marshal(wire)
-	if err != nil {
-		return err
+		pause.sleep(ctx)
 	}
-	_, err = nd.store.Put(ctx, own.WithBody(body))
-	return err
 }
 
-// leave removes the node's directory record.
-func (nd *Node) leave(life context.Context) error {
-	ctx, cancel := context.WithTimeout(life, leaveTimeout)
-	defer cancel()
-	object, err := nd.store.Get(ctx, nd.recordName())
+// readRoot reads the platform's root once.
+func (nd *Node) readRoot(ctx context.Context) {
+	object, err := nd.store.Get(ctx, plat.RootName)
 	if err == nil {
-		_ = nd.store.Delete(ctx, object)
+		nd.rootSeen(ctx, object)
 	}
-	sleep(life, leavePause)
-	return nil
 }
 
 func sleep(ctx context.Context, wait time.Duration) {
@@ -191,3 +167,15 @@
 func jitter(wait time.Duration) time.Duration {
 	return wait/2 + time.Duration(rand.Int64N(int64(wait)))
 }
+
+// backoff is a pause that doubles after each failure.
+type backoff struct{ wait time.Duration }
+
+func newBackoff() *backoff { return &backoff{wait: platformPause} }
+
+func (bo *backoff) reset() { bo.wait = platformPause }
+
+func (bo *backoff) sleep(ctx context.Context) {
+	sleep(ctx, jitter(bo.wait))
+	bo.wait = min(2*bo.wait, maxPlatformPause)
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -40,7 +40,7 @@
 	// Exchange answers a membership message.
 	Exchange func(ctx context.Context, message fleet.Message) (fleet.Message, error)
 	// Pull returns the configuration in force.
-	Pull func() conf.Bundle
+	Pull func() (conf.Bundle, error)
 	// Probe asks another node for an answer.
 	Probe func(ctx context.Context, id types.InstanceID, address types.Address) bool
 	// Meter takes the bytes of the messages served.
@@ -86,7 +86,11 @@
 	for _, hash := range request.Msg.GetHeldHashes() {
 		held = append(held, types.Hash(hash))
 	}
-	return connect.NewResponse(codec.BundleToProto(sv.service.Pull(), types.NewSet(held...))), nil
+	bundle, err := sv.service.Pull()
+	if err != nil {
+		return nil, codec.FaultToRPC(err)
+	}
+	return connect.NewResponse(codec.BundleToProto(bundle, types.NewSet(held...))), nil
 }
 
 // Client calls peers.
--- a/trace/event.go
+++ b/trace/event.go
@@ -38,27 +38,31 @@
 	WorkReplayed
 	PlatformFailed
 	NodeRejoined
+	InstanceDuplicated
+	RecordRemoved
 	kindCount
 )
 
 var kindNames = [kindCount]string{
-	ConfigAdopted:     "config-adopted",
-	ConfigRefused:     "config-refused",
-	ConfigPublished:   "config-published",
-	MemberChanged:     "member-changed",
-	DelegateChanged:   "delegate-changed",
-	UpstreamAnnounced: "upstream-announced",
-	UpstreamLeft:      "upstream-left",
-	NodeStarted:       "node-started",
-	NodeStopping:      "node-stopping",
-	CallRefused:       "call-refused",
-	CallRetried:       "call-retried",
-	CallHedged:        "call-hedged",
-	CallUnknown:       "call-unknown",
-	WorkRefused:       "work-refused",
-	WorkReplayed:      "work-replayed",
-	PlatformFailed:    "platform-failed",
-	NodeRejoined:      "node-rejoined",
+	ConfigAdopted:      "config-adopted",
+	ConfigRefused:      "config-refused",
+	ConfigPublished:    "config-published",
+	MemberChanged:      "member-changed",
+	DelegateChanged:    "delegate-changed",
+	UpstreamAnnounced:  "upstream-announced",
+	UpstreamLeft:       "upstream-left",
+	NodeStarted:        "node-started",
+	NodeStopping:       "node-stopping",
+	CallRefused:        "call-refused",
+	CallRetried:        "call-retried",
+	CallHedged:         "call-hedged",
+	CallUnknown:        "call-unknown",
+	WorkRefused:        "work-refused",
+	WorkReplayed:       "work-replayed",
+	PlatformFailed:     "platform-failed",
+	NodeRejoined:       "node-rejoined",
+	InstanceDuplicated: "instance-duplicated",
+	RecordRemoved:      "record-removed",
 }
 
 // String returns the kebab-case name of the kind.
