Choose upstreams by their slowness against their siblings

Cause: the peak average remembers one straggler for ten seconds, mixes short and long routes, and lets entries that share a late report choose alike.

Change: each answer is compared with the usual duration of its route, learned as a decaying geometric mean; attempts in flight count once they are overdue. An upstream three times slower than the middle sibling is ejected, at most half of them, and gets 0.5% of the attempts as probes. The expected duration with load, way and warm-up decides between two random candidates. Refusals are no slowness; failures weigh most. States without attempts for a minute are forgotten. Attempts carry their route to the balance.

--- a/core/entry.go
+++ b/core/entry.go
@@ -51,7 +51,7 @@
 	for _, owner := range owners {
 		candidates = append(candidates, st.candidate(owner))
 	}
-	return st.balance.Pick(candidates, now)
+	return st.balance.Pick(call.Route.Name, candidates, now)
 }
 
 // open reports whether the rules let a member's upstream take work now.
--- a/core/policy.go
+++ b/core/policy.go
@@ -10,8 +10,10 @@
 
 // The ways to choose among upstreams.
 const (
+	BalanceAdaptive         BalanceKind = "adaptive"
 	BalancePeakEWMA         BalanceKind = "peak-ewma"
 	BalanceLeastOutstanding BalanceKind = "least-outstanding"
+	BalanceJoinIdle         BalanceKind = "join-idle"
 	BalanceRoundRobin       BalanceKind = "round-robin"
 )
 
@@ -51,13 +53,13 @@
 
 // DefaultPolicies returns the alternatives in use.
 func DefaultPolicies() Policies {
-	return Policies{Balance: BalancePeakEWMA, Queue: QueueShed, Spread: SpreadDelegates, Hedge: true}
+	return Policies{Balance: BalanceAdaptive, Queue: QueueShed, Spread: SpreadDelegates, Hedge: true}
 }
 
 // Validate returns an error that names an unknown alternative.
 func (p Policies) Validate() error {
 	switch p.Balance {
-	case BalancePeakEWMA, BalanceLeastOutstanding, BalanceRoundRobin:
+	case BalanceAdaptive, BalancePeakEWMA, BalanceLeastOutstanding, BalanceJoinIdle, BalanceRoundRobin:
 	default:
 		return fault.New(fault.InvalidInput, "balance %q is not known", p.Balance)
 	}
@@ -80,7 +82,11 @@
 		return route.LeastOutstanding()
 	case BalanceRoundRobin:
 		return route.RoundRobin()
-	default:
+	case BalanceJoinIdle:
+		return route.JoinIdle()
+	case BalancePeakEWMA:
 		return route.PeakEWMA()
+	default:
+		return route.Adaptive()
 	}
 }
--- a/core/state.go
+++ b/core/state.go
@@ -61,7 +61,7 @@
 	st := &State{
 		fleet:    fleet.NewTable(self, rand.New(rand.NewPCG(se.seed, se.seed))),
 		conf:     conf.NewHolder(),
-		balance:  route.NewBalance(se.policies.balance()),
+		balance:  route.NewBalance(se.policies.balance(), route.WithSeed(se.seed)),
 		gate:     admit.NewGate(se.gate...),
 		policies: se.policies,
 	}
--- a/flow/table.go
+++ b/flow/table.go
@@ -29,7 +29,7 @@
 	// Pick chooses the upstream of the next attempt, leaving out those tried.
 	Pick func(call Call, tried types.Set[types.InstanceID], now time.Time) (route.Candidate, bool)
 	// Began and Ended report attempts to the balance.
-	Began func(id types.InstanceID)
+	Began func(target route.Candidate, now time.Time)
 	Ended func(sample route.Sample, now time.Time)
 }
 
@@ -134,7 +134,7 @@
 	pr.attempts++
 	pr.tried = pr.tried.With(target.ID)
 	pr.open[pr.attempts] = target
-	tb.seams.Began(target.ID)
+	tb.seams.Began(target, now)
 	return []types.Effect{
 		trace.Count{Counter: trace.AttemptsStarted},
 		StartAttempt{
@@ -174,7 +174,7 @@
 		if !ok {
 			continue
 		}
-		tb.seams.Ended(route.Sample{ID: target.ID, Refused: true}, now)
+		tb.seams.Ended(route.Sample{ID: target.ID, Route: target.Route, Canceled: true}, now)
 		effects = append(effects, CancelAttempt{Call: pr.call.ID, Attempt: attempt})
 	}
 	delete(tb.calls, pr.call.ID)
@@ -203,6 +203,7 @@
 func sampleOf(target route.Candidate, event AttemptEnded) route.Sample {
 	return route.Sample{
 		ID:      target.ID,
+		Route:   target.Route,
 		Elapsed: event.Elapsed,
 		Load:    event.Load,
 		Refused: event.Verdict == NotRun,
--- a/route/balance.go
+++ b/route/balance.go
@@ -1,9 +1,10 @@
 package route
 
 import (
-	"math"
+	"math/rand/v2"
 	"time"
 
+	"sequoiamill.example/sequoiamill/stat"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -11,6 +12,8 @@
 type Candidate struct {
 	ID      types.InstanceID
 	Address types.Address
+	// Route is the route of the attempt.
+	Route types.RouteName
 	// Local states that this node owns the upstream.
 	Local bool
 	// SameZone states that the upstream is in this node's availability zone.
@@ -30,136 +33,152 @@
 // Sample is the outcome of one attempt at an upstream.
 type Sample struct {
 	ID      types.InstanceID
+	Route   types.RouteName
 	Elapsed time.Duration
 	Load    Load
 	// Refused states that the work did not run.
 	Refused bool
 	// Failed states that no whole answer came.
 	Failed bool
-}
-
-// Policy orders candidates; the lowest score is chosen.
-type Policy struct {
-	Score func(state UpstreamState, candidate Candidate, now time.Time) float64
-}
-
-// UpstreamState is what this node has observed of an upstream.
-type UpstreamState struct {
-	// Outstanding counts this node's own attempts.
-	Outstanding int
-	// Latency is the peak exponentially weighted moving average.
-	Latency time.Duration
-	// Load is the last report and Reported its time.
-	Load     Load
-	Reported time.Time
-	Updated  time.Time
-	// Picked counts the choices of this upstream.
-	Picked uint64
+	// Canceled states that the entry gave the attempt up before it ended.
+	Canceled bool
 }
 
 const (
-	latencyDecay   = 10 * time.Second
-	loadExpiry     = time.Second
-	minimumLatency = time.Millisecond
-	zonePenalty    = 2 * time.Millisecond
-	failurePenalty = 500 * time.Millisecond
-	minimumRamp    = 0.1
+	defaultUsual  = 10 * time.Millisecond
+	stateExpiry   = time.Minute
+	sweepInterval = 10 * time.Second
 )
 
 // Balance keeps the observations of all upstreams of one node.
 type Balance struct {
-	policy Policy
-	states map[types.InstanceID]*UpstreamState
+	policy    Policy
+	source    *rand.Rand
+	states    map[types.InstanceID]*UpstreamState
+	durations *stat.Durations
+	swept     time.Time
+	// ratings and scores are reused by each pick.
+	ratings []Rating
+	scores  []float64
 }
 
-// NewBalance returns a balance that uses a policy.
-func NewBalance(policy Policy) *Balance {
-	return &Balance{policy: policy, states: map[types.InstanceID]*UpstreamState{}}
-}
+// Option changes a setting of a balance.
+type Option func(*Balance)
 
-// PeakEWMA scores by latency times the work ahead.
-func PeakEWMA() Policy {
-	return Policy{Score: func(state UpstreamState, candidate Candidate, now time.Time) float64 {
-		latency := max(state.Latency, minimumLatency)
-		if !candidate.SameZone {
-			latency += zonePenalty
-		}
-		ahead := state.Outstanding
-		if now.Sub(state.Reported) < loadExpiry {
-			ahead = max(ahead, state.Load.Outstanding+state.Load.Queued)
-		}
-		load := float64(ahead+1) / float64(max(candidate.Slots, 1))
-		return float64(latency) * load / candidate.ramp(now)
-	}}
+// WithSeed sets the seed of the random numbers that break ties.
+func WithSeed(seed uint64) Option {
+	return func(b *Balance) { b.source = rand.New(rand.NewPCG(seed, ^seed)) }
 }
 
-// RoundRobin takes the upstreams in turn.
-func RoundRobin() Policy {
-	return Policy{Score: func(state UpstreamState, _ Candidate, _ time.Time) float64 {
-		return float64(state.Picked)
-	}}
+// NewBalance returns a balance that uses a policy.
+func NewBalance(policy Policy, opts ...Option) *Balance {
+	b := &Balance{
+		policy:    policy,
+		source:    rand.New(rand.NewPCG(0, 0)),
+		states:    map[types.InstanceID]*UpstreamState{},
+		durations: stat.NewDurations(),
+	}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
 }
 
-// LeastOutstanding takes the upstream with the fewest own attempts.
-func LeastOutstanding() Policy {
-	return Policy{Score: func(state UpstreamState, _ Candidate, _ time.Time) float64 {
-		return float64(state.Outstanding)
-	}}
+// Usual returns how long an attempt on a route usually takes.
+func (b *Balance) Usual(route types.RouteName) time.Duration {
+	if usual, ok := b.durations.Usual(route); ok {
+		return usual
+	}
+	return defaultUsual
 }
 
-func (c Candidate) ramp(now time.Time) float64 {
-	if c.WarmUp <= 0 {
-		return 1
+// Len returns the number of upstreams that are remembered.
+func (b *Balance) Len() int { return len(b.states) }
+
+// Pick returns the candidate for an attempt on a route.
+func (b *Balance) Pick(route types.RouteName, candidates []Candidate, now time.Time) (Candidate, bool) {
+	if len(candidates) == 0 {
+		return Candidate{}, false
+	}
+	b.sweep(now)
+	b.rate(route, candidates, now)
+	at, ok := 0, false
+	if b.policy.Eject {
+		at, ok = b.probe(now)
+	}
+	if !ok {
+		at = b.choose()
 	}
-	share := float64(now.Sub(c.Ready)) / float64(c.WarmUp)
-	return math.Min(1, math.Max(minimumRamp, share))
+	chosen := candidates[at]
+	chosen.Route = route
+	return chosen, true
 }
 
-// Pick returns the candidate with the lowest score.
-func (b *Balance) Pick(candidates []Candidate, now time.Time) (Candidate, bool) {
-	var chosen Candidate
-	best := math.Inf(1)
+// rate fills the ratings of the candidates.
+func (b *Balance) rate(route types.RouteName, candidates []Candidate, now time.Time) {
+	usual := b.Usual(route)
+	b.ratings = b.ratings[:0]
 	for _, candidate := range candidates {
-		score := b.policy.Score(*b.state(candidate.ID), candidate, now)
-		if score < best {
-			best, chosen = score, candidate
-		}
+		state := b.state(candidate.ID)
+		b.ratings = append(b.ratings, Rating{
+			State:     state,
+			Candidate: candidate,
+			Usual:     usual,
+			Slowness:  state.slowness(b.Usual, now),
+			Now:       now,
+		})
 	}
-	if chosen.ID == "" {
-		return Candidate{}, false
+	compare(b.ratings)
+	if b.policy.Eject {
+		eject(b.ratings)
 	}
-	return chosen, true
+}
+
+// choose returns the index of the candidate that the policy prefers among
+// those that are not ejected.
+func (b *Balance) choose() int {
+	b.scores = b.scores[:0]
+	for _, rating := range b.ratings {
+		b.scores = append(b.scores, b.policy.score(rating))
+	}
+	return b.policy.Choose(b.scores, b.source)
 }
 
 // Began records that an attempt was sent to an upstream.
-func (b *Balance) Began(id types.InstanceID) {
-	state := b.state(id)
+func (b *Balance) Began(target Candidate, now time.Time) {
+	state := b.state(target.ID)
 	state.Outstanding++
 	state.Picked++
+	state.Updated = now
+	state.flights = append(state.flights, flight{route: target.Route, start: now})
 }
 
 // Ended records the outcome of an attempt.
 func (b *Balance) Ended(sample Sample, now time.Time) {
 	state := b.state(sample.ID)
-	state.Outstanding = max(0, state.Outstanding-1)
-	state.Load, state.Reported = sample.Load, now
-	elapsed := sample.Elapsed
-	if sample.Failed {
-		elapsed = max(elapsed, failurePenalty)
+	began, known := state.land(sample, now)
+	state.Outstanding = len(state.flights)
+	if sample.reports() {
+		state.Load, state.Reported, state.ownAtReport = sample.Load, now, state.Outstanding
 	}
-	if !sample.Refused {
-		state.observe(elapsed, now)
+	switch {
+	case sample.Refused:
+		state.Updated = now
+	case sample.Canceled:
+		if known {
+			state.observeAtLeast(now.Sub(began), b.Usual(sample.Route), now)
+		}
+	case sample.Failed:
+		state.observeFailure(sample.Elapsed, now)
+	default:
+		b.durations.Observe(sample.Route, sample.Elapsed, now)
+		state.observe(sample.Elapsed, b.Usual(sample.Route), now)
 	}
 }
 
-func (s *UpstreamState) observe(elapsed time.Duration, now time.Time) {
-	weight := math.Exp(-float64(now.Sub(s.Updated)) / float64(latencyDecay))
-	s.Updated = now
-	if elapsed > s.Latency {
-		s.Latency = elapsed
-		return
-	}
-	s.Latency = time.Duration(float64(s.Latency)*weight + float64(elapsed)*(1-weight))
+// reports states whether the sample carries an owner's load.
+func (s Sample) reports() bool {
+	return s.Load != Load{} || !s.Refused && !s.Failed && !s.Canceled
 }
 
 func (b *Balance) state(id types.InstanceID) *UpstreamState {
@@ -170,3 +189,16 @@
 	}
 	return state
 }
+
+// sweep forgets the upstreams that had no attempt for a while.
+func (b *Balance) sweep(now time.Time) {
+	if now.Sub(b.swept) < sweepInterval {
+		return
+	}
+	b.swept = now
+	for id, state := range b.states {
+		if len(state.flights) == 0 && now.Sub(state.Updated) > stateExpiry {
+			delete(b.states, id)
+		}
+	}
+}
--- a/route/match.go
+++ b/route/match.go
@@ -4,8 +4,8 @@
 //
 //	table := route.NewTable(snapshot)
 //	found, ok := table.Match(route.Request{Method: "GET", Path: "/status/7"})
-//	balance := route.NewBalance(route.PeakEWMA())
-//	target, ok := balance.Pick(candidates, now)
+//	balance := route.NewBalance(route.Adaptive(), route.WithSeed(7))
+//	target, ok := balance.Pick(found.Name, candidates, now)
 package route
 
 import (
--- /dev/null
+++ b/stat/duration_test.go
@@ -0,0 +1,45 @@
+package stat_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiamill.example/sequoiamill/stat"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+func TestUsual(t *testing.T) {
+	check := is.New(t)
+	durations := stat.NewDurations()
+	_, known := durations.Usual("status")
+	check.True(!known)
+	now := time.Unix(0, 0)
+	for number := range 500 {
+		elapsed := 10 * time.Millisecond
+		if number%50 == 49 {
+			elapsed = time.Second
+		}
+		durations.Observe("status", elapsed, now)
+	}
+	usual, known := durations.Usual("status")
+	check.True(known)
+	check.True(usual > 9*time.Millisecond && usual < 14*time.Millisecond) // one in fifty takes 100 times as long
+}
+
+func TestRoutesAreBounded(t *testing.T) {
+	check := is.New(t)
+	durations := stat.NewDurations()
+	now := time.Unix(0, 0)
+	for number := range 3000 {
+		now = now.Add(time.Millisecond)
+		durations.Observe(types.RouteName(fmt.Sprint(number)), time.Millisecond, now)
+	}
+	check.Equal(durations.Len(), 1024)
+	_, known := durations.Usual("2999")
+	check.True(known)
+	_, known = durations.Usual("0")
+	check.True(!known)
+}
--- a/verbs/node.go
+++ b/verbs/node.go
@@ -29,7 +29,7 @@
 	MaxBody     int64         `help:"Greatest size of a request or an answer in bytes." default:"8388608"`
 	StopLimit   time.Duration `help:"Longest time of a graceful stop." default:"30s"`
 	Seed        uint64        `help:"Seed of the random choices; 0 takes the process id." default:"0"`
-	Balance     string        `help:"How upstreams are chosen: peak-ewma, least-outstanding or round-robin." default:"peak-ewma"`
+	Balance     string        `help:"How upstreams are chosen: adaptive, peak-ewma, least-outstanding, join-idle or round-robin." default:"adaptive"`
 	Queue       string        `help:"How work is admitted: shed, fifo or none." default:"shed"`
 	Spread      string        `help:"How configurations spread: delegates or watch." default:"delegates"`
 	Hedge       bool          `help:"Allow second attempts on routes that ask for them." default:"true" negatable:""`
