Remember keyed work at its owner and bound extra attempts

Cause: a non-idempotent call with a key could run at two owners, a retry was bounded only by the number of attempts, and an answer without an end that can be checked was taken as whole.

Change: the owners of a service are visited in the rendezvous order of the key; a ledger at the owner joins, replays or passes on. Retries and hedges take from budgets per service. The transport never sends a request again by itself, a connection with a broken answer is closed, digests and the echo are checked.

--- a/admit/work.go
+++ b/admit/work.go
@@ -28,10 +28,19 @@
 	Importance conf.Importance
 	Idempotent bool
 	Key        types.Option[types.Key]
+	// Fingerprint tells apart different requests under one key.
+	Fingerprint uint64
+	// Last states that no other owner will be asked for the key.
+	Last bool
+	// RequireEcho refuses an answer that does not echo the request identifier.
+	RequireEcho bool
 	// Deadline is the instant after which the answer is of no use.
 	Deadline time.Time
 }
 
+// Keyed reports whether the work runs at most once under its key.
+func (w Work) Keyed() bool { return !w.Idempotent && w.Key.IsSome() }
+
 // Arrived is the event that a node asks for work to be run.
 type Arrived struct{ Work Work }
 
@@ -43,7 +52,10 @@
 	ID types.WorkID
 	// Ran states whether the upstream ran the work.
 	Ran     fault.Outcome
+	Err     *fault.Error
 	Elapsed time.Duration
+	// Size is that of the answer in bytes.
+	Size int
 	// Whole states that the upstream's answer arrived whole.
 	Whole bool
 }
--- a/core/entry.go
+++ b/core/entry.go
@@ -18,16 +18,29 @@
 	effects := []types.Effect{trace.Count{Counter: trace.CallsArrived}}
 	found, err := st.entryRoute(event.Target)
 	if err != nil {
-		return append(effects,
-			trace.Count{Counter: trace.CallsFailed},
-			trace.Event{Kind: trace.CallRefused, Request: event.Request, Detail: err.Error()},
-			flow.Fail{Call: event.Call, Err: err})
+		return append(effects, refuseCall(event, err)...)
 	}
 	limit := min(found.Deadline, event.Limit.Or(found.Deadline))
 	call := flow.Call{ID: event.Call, Request: event.Request, Key: event.Key, Route: found, Deadline: now.Add(limit)}
+	call, err = st.withKey(call, now)
+	if err != nil {
+		return append(effects, refuseCall(event, err)...)
+	}
 	return append(effects, st.calls.Begin(call, now)...)
 }
 
+func refuseCall(event flow.CallArrived, err *fault.Error) []types.Effect {
+	kind := trace.CallRefused
+	if err.Kind == fault.OutcomeUnknown {
+		kind = trace.CallUnknown
+	}
+	return []types.Effect{
+		trace.Count{Counter: trace.CallsFailed},
+		trace.Event{Kind: kind, Request: event.Request, Detail: err.Error()},
+		flow.Fail{Call: event.Call, Err: err},
+	}
+}
+
 func (st *State) entryRoute(target route.Request) (conf.Route, *fault.Error) {
 	if st.stopping {
 		return conf.Route{}, fault.New(fault.Stopping, "the node is stopping").WithRetryAfter(comeBackSoon)
--- /dev/null
+++ b/core/keys.go
@@ -0,0 +1,200 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sequoiamill.example/sequoiamill/admit"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+// pauseLimit is the time without an event above which a node may have been
+// paused.
+const pauseLimit = 3 * time.Second
+
+// keys is what a node needs to run keyed work at most once.
+type keys struct {
+	limits flow.KeyLimits
+	ledger *flow.Ledger
+	// owned is the service whose work the node took after the last event.
+	owned types.ServiceName
+	// left holds when the node ceased to take the work of a service.
+	left        map[types.ServiceName]time.Time
+	incarnation uint64
+	last        time.Time
+	// settled states that the node runs for longer than the margin.
+	settled bool
+}
+
+func newKeys(limits flow.KeyLimits, opts []flow.LedgerOption) keys {
+	return keys{
+		limits: limits,
+		ledger: flow.NewLedger(limits, opts...),
+		left:   map[types.ServiceName]time.Time{},
+	}
+}
+
+// watchKeys notes, before an event, a pause of the process.
+func (st *State) watchKeys(now time.Time) {
+	ks := &st.keys
+	if !ks.last.IsZero() && now.Sub(ks.last) > pauseLimit {
+		ks.ledger.Renew(now)
+	}
+	ks.last = now
+	ks.incarnation = st.fleet.Self().Incarnation
+	if !ks.settled {
+		ks.settled = now.Sub(st.fleet.Self().Started) >= ks.limits.Margin
+	}
+}
+
+// trackKeys notes, after an event, from when on the node's ledger is complete.
+// It is not complete for the time in which other nodes may have counted this
+// one out.
+func (st *State) trackKeys(event types.Event, now time.Time) {
+	ks := &st.keys
+	self := st.fleet.Self()
+	switch event.(type) {
+	case fleet.ExchangeReceived, fleet.ExchangeAnswered:
+		if self.Incarnation != ks.incarnation {
+			ks.ledger.Renew(now)
+		}
+	}
+	owned := types.ServiceName("")
+	if self.TakesWork() {
+		owned = self.Service
+	}
+	if owned == ks.owned {
+		return
+	}
+	if ks.owned != "" {
+		ks.left[ks.owned] = now
+	}
+	if owned != "" {
+		ks.ledger.Renew(now)
+	}
+	ks.owned = owned
+}
+
+// keyOwner is one place in the owner order of a key.
+type keyOwner struct {
+	member fleet.Member
+	// gone states that the process that may know the key is gone.
+	gone bool
+	rank uint64
+}
+
+// keyOrder returns the owners of a service in the order in which a key visits
+// them: those that take work and those that took it until after an instant.
+func (st *State) keyOrder(service types.ServiceName, key types.Key, after time.Time) []keyOwner {
+	var order []keyOwner
+	for _, member := range st.fleet.Owners(func(member fleet.Member) bool { return member.Service == service }) {
+		order = append(order, keyOwner{member: member})
+	}
+	for _, former := range st.fleet.Formers(service, after) {
+		current, known := st.fleet.Member(former.Member.ID)
+		same := known && current.Started.Equal(former.Member.Started)
+		if same && current.TakesWork() && current.Service == service {
+			continue
+		}
+		alive := same && (current.Status == fleet.Alive || current.Status == fleet.Suspect)
+		order = append(order, keyOwner{member: former.Member, gone: !alive})
+	}
+	if until, ok := st.keys.left[service]; ok && until.After(after) && st.keys.owned != service {
+		order = append(order, keyOwner{member: st.fleet.Self()})
+	}
+	for at := range order {
+		order[at].rank = xxhash.Sum64String(string(key) + "|" + string(order[at].member.ID))
+	}
+	slices.SortFunc(order, func(a, b keyOwner) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.member.ID, b.member.ID), compareGone(a, b))
+	})
+	return order
+}
+
+// compareGone orders a process that is gone before its replacement.
+func compareGone(a, b keyOwner) int {
+	switch {
+	case a.gone == b.gone:
+		return 0
+	case a.gone:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// nextOwner chooses the owner that a keyed call goes to.
+func (st *State) nextOwner(call flow.Call, passed types.Set[types.InstanceID], _ time.Time) (flow.Choice, *fault.Error) {
+	limits := st.keys.limits
+	if !limits.Knows(call.Minted, st.fleet.Self().Started) {
+		return flow.Choice{}, fault.New(fault.OutcomeUnknown, "the node started too late to know the key")
+	}
+	order := st.keyOrder(call.Route.Service, call.Key.Or(""), call.Minted.Add(-limits.Margin))
+	left := slices.DeleteFunc(order, func(owner keyOwner) bool { return passed.Has(owner.member.ID) })
+	if len(left) == 0 {
+		return flow.Choice{}, nil
+	}
+	first := left[0]
+	if first.gone {
+		return flow.Choice{}, fault.New(fault.OutcomeUnknown, "the owner %s of the key is gone", first.member.ID)
+	}
+	if !limits.Knows(call.Minted, first.member.Started) {
+		return flow.Choice{}, fault.New(fault.OutcomeUnknown, "the owner %s of the key started too late to know it", first.member.ID)
+	}
+	return flow.Choice{Target: st.candidate(first.member), Last: len(left) == 1}, nil
+}
+
+// withKey returns a call with the canonical form and the age of its key.
+func (st *State) withKey(call flow.Call, now time.Time) (flow.Call, *fault.Error) {
+	if !call.Keyed() {
+		return call, nil
+	}
+	key, minted, err := flow.ParseKey(call.Key.Or(""))
+	if err != nil {
+		return call, err
+	}
+	if err := st.keys.limits.Check(minted, now); err != nil {
+		return call, err
+	}
+	call.Key = types.Some(key)
+	call.Minted = minted
+	return call, nil
+}
+
+// workCanceled withdraws a work unless its key must be remembered.
+func (st *State) workCanceled(id types.WorkID) []types.Effect {
+	effects, withdraw := st.keys.ledger.Canceled(id)
+	if effects != nil || st.keys.ledger.Holds(id) && !withdraw {
+		return effects
+	}
+	return st.gate.Withdraw(id)
+}
+
+// settleKeys tells the ledger what became of keyed works and lets it answer
+// those that did not run.
+func (st *State) settleKeys(effects []types.Effect) []types.Effect {
+	ledger := st.keys.ledger
+	if ledger.Open() == 0 {
+		return effects
+	}
+	settled := make([]types.Effect, 0, len(effects))
+	for _, effect := range effects {
+		switch ef := effect.(type) {
+		case admit.Dispatch:
+			ledger.Dispatched(ef.Work.ID)
+		case admit.Refuse:
+			if ledger.Holds(ef.Work.ID) {
+				settled = append(settled, ledger.Refused(ef.Work, ef.Err)...)
+				continue
+			}
+		}
+		settled = append(settled, effect)
+	}
+	return settled
+}
--- a/core/owner.go
+++ b/core/owner.go
@@ -69,6 +69,11 @@
 }
 
 func (st *State) workArrived(work admit.Work, now time.Time) []types.Effect {
+	if work.Keyed() {
+		if effects, fresh := st.keys.ledger.Arrive(work, now); !fresh {
+			return effects
+		}
+	}
 	if err := st.ownerFault(work, now); err != nil {
 		return []types.Effect{
 			trace.Count{Counter: trace.WorkShed},
@@ -76,6 +81,8 @@
 			admit.Refuse{Work: work, Err: err},
 		}
 	}
+	rule, _ := st.conf.Current().Rule(work.Service, st.fleet.Self().Zone)
+	work.RequireEcho = rule.RequireEcho
 	return st.gate.Arrive(work, now)
 }
 
--- a/core/state.go
+++ b/core/state.go
@@ -13,6 +13,9 @@
 	"sequoiamill.example/sequoiamill/types"
 )
 
+// lingerTime is how long the news of a stop takes to spread.
+const lingerTime = 500 * time.Millisecond
+
 // State is all that one node knows. It is not safe for concurrent use.
 type State struct {
 	fleet    *fleet.Table
@@ -21,10 +24,12 @@
 	balance  *route.Balance
 	gate     *admit.Gate
 	calls    *flow.Table
+	keys     keys
 	upstream local
 	policies Policies
 	watching bool
 	stopping bool
+	linger   time.Time
 	drained  bool
 }
 
@@ -32,6 +37,8 @@
 	seed     uint64
 	policies Policies
 	gate     []admit.Option
+	limits   flow.KeyLimits
+	ledger   []flow.LedgerOption
 }
 
 // Option changes a setting of a state.
@@ -52,9 +59,14 @@
 	return func(se *settings) { se.gate = opts }
 }
 
+// WithKeys sets the limits of idempotency keys and options of the ledger.
+func WithKeys(limits flow.KeyLimits, opts ...flow.LedgerOption) Option {
+	return func(se *settings) { se.limits, se.ledger = limits, opts }
+}
+
 // New returns the state of a node that has just started.
 func New(self fleet.Member, opts ...Option) *State {
-	se := settings{policies: DefaultPolicies()}
+	se := settings{policies: DefaultPolicies(), limits: flow.DefaultKeyLimits()}
 	for _, opt := range opts {
 		opt(&se)
 	}
@@ -63,9 +75,11 @@
 		conf:     conf.NewHolder(),
 		balance:  route.NewBalance(se.policies.balance()),
 		gate:     admit.NewGate(se.gate...),
+		keys:     newKeys(se.limits, se.ledger),
 		policies: se.policies,
 	}
-	st.calls = flow.NewTable(flow.Seams{Pick: st.pick, Began: st.balance.Began, Ended: st.balance.Ended})
+	seams := flow.Seams{Pick: st.pick, Next: st.nextOwner, Began: st.balance.Began, Ended: st.balance.Ended}
+	st.calls = flow.NewTable(seams, flow.WithHedge(se.policies.Hedge))
 	return st
 }
 
@@ -80,13 +94,16 @@
 	return route.Load{Outstanding: st.gate.Running(), Queued: st.gate.Queued()}
 }
 
-// Ready reports whether the node may serve callers.
-func (st *State) Ready() bool { return st.conf.Ready() && !st.stopping }
+// Ready reports whether the node may serve callers. It is not ready before
+// it can know the keys that callers mint.
+func (st *State) Ready() bool { return st.conf.Ready() && st.keys.settled && !st.stopping }
 
 // Step applies one event and returns its effects in order.
 func (st *State) Step(event types.Event, now time.Time) []types.Effect {
-	effects := st.apply(event, now)
-	return append(effects, st.checkDrained()...)
+	st.watchKeys(now)
+	effects := st.settleKeys(st.apply(event, now))
+	st.trackKeys(event, now)
+	return append(effects, st.checkDrained(now)...)
 }
 
 func (st *State) apply(event types.Event, now time.Time) []types.Effect {
@@ -96,7 +113,7 @@
 	case UpstreamAnnounced:
 		return st.announced(ev.Announcement, now)
 	case StopAsked:
-		return st.stop()
+		return st.stop(now)
 	case conf.Offered:
 		return st.offered(ev, now)
 	case types.TimerFired:
@@ -115,9 +132,9 @@
 	case admit.Arrived:
 		return st.workArrived(ev.Work, now)
 	case admit.Ended:
-		return st.gate.End(ev.ID, ev.Elapsed)
+		return append(st.keys.ledger.Ended(ev, now), st.gate.End(ev.ID, ev.Elapsed)...)
 	case admit.Canceled:
-		return st.gate.Withdraw(ev.ID)
+		return st.workCanceled(ev.ID)
 	default:
 		return nil
 	}
@@ -126,6 +143,7 @@
 func (st *State) tick(now time.Time) []types.Effect {
 	effects := st.fleet.Tick(now)
 	effects = append(effects, st.refreshUpstream(now)...)
+	effects = append(effects, st.keys.ledger.Sweep(now)...)
 	return append(effects, st.electDelegate()...)
 }
 
@@ -133,6 +151,8 @@
 	switch timer.Kind {
 	case types.CallDeadline:
 		return st.calls.Expire(timer.Call, now)
+	case types.CallHedge:
+		return st.calls.Hedge(timer.Call, now)
 	case types.QueueDeadline:
 		return st.gate.Expire(timer.Work)
 	default:
@@ -147,6 +167,7 @@
 		switch ef := effect.(type) {
 		case conf.Adopted:
 			st.routes = route.NewTable(ef.Snapshot)
+			st.calls.Keep(ef.Snapshot)
 			st.fleet.Hold(ef.Snapshot.Version(), ef.Snapshot.Digest())
 			events = append(events, trace.Event{Kind: trace.ConfigAdopted, Version: ef.Snapshot.Version()})
 			events = append(events, st.refreshUpstream(now)...)
@@ -201,18 +222,23 @@
 	}
 }
 
-func (st *State) stop() []types.Effect {
+func (st *State) stop(now time.Time) []types.Effect {
 	if st.stopping {
 		return nil
 	}
 	st.stopping = true
+	if st.fleet.Self().TakesWork() {
+		st.linger = now.Add(st.keys.limits.Margin + lingerTime)
+	}
 	st.fleet.Leave()
 	effects := []types.Effect{trace.Event{Kind: trace.NodeStopping, Subject: st.fleet.Self().ID}}
 	return append(effects, st.electDelegate()...)
 }
 
-func (st *State) checkDrained() []types.Effect {
-	if !st.stopping || st.drained || st.calls.Len() > 0 || st.gate.Running() > 0 || st.gate.Queued() > 0 {
+// checkDrained ends a stop. A node that owned an upstream answers for the keys
+// that it remembers until no entry sends it new ones.
+func (st *State) checkDrained(now time.Time) []types.Effect {
+	if !st.stopping || st.drained || now.Before(st.linger) || st.calls.Len() > 0 || st.gate.Running() > 0 || st.gate.Queued() > 0 {
 		return nil
 	}
 	st.drained = true
--- a/flow/event.go
+++ b/flow/event.go
@@ -48,6 +48,8 @@
 	NotRun
 	// Lost means that the work was sent and may have run.
 	Lost
+	// Unsent means that the owner was not reached.
+	Unsent
 )
 
 // String returns the kebab-case name of the verdict.
@@ -59,6 +61,8 @@
 		return "not-run"
 	case Lost:
 		return "lost"
+	case Unsent:
+		return "unsent"
 	default:
 		return "unknown-verdict"
 	}
@@ -70,8 +74,10 @@
 	Attempt int
 	Verdict Verdict
 	Err     *fault.Error
-	Load    route.Load
-	Elapsed time.Duration
+	// PassedOn states that the owner will never run the key of this call.
+	PassedOn bool
+	Load     route.Load
+	Elapsed  time.Duration
 }
 
 // Event marks the type as an event.
@@ -86,6 +92,8 @@
 	Route    conf.Route
 	Key      types.Option[types.Key]
 	Deadline time.Time
+	// Last states that no other owner will be asked for the key.
+	Last bool
 }
 
 // Effect marks the type as an effect.
--- /dev/null
+++ b/flow/finish.go
@@ -0,0 +1,81 @@
+package flow
+
+import (
+	"time"
+
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/route"
+	"sequoiamill.example/sequoiamill/trace"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+func (tb *Table) deliver(pr *progress, attempt int, now time.Time) []types.Effect {
+	for _, loser := range pr.open {
+		tb.delay(pr.call.Route.Name).observe(now.Sub(loser.started))
+	}
+	effects := []types.Effect{trace.Count{Counter: trace.CallsDelivered}, Deliver{Call: pr.call.ID, Attempt: attempt}}
+	return append(effects, tb.finish(pr, now)...)
+}
+
+func (tb *Table) fail(pr *progress, err *fault.Error, now time.Time) []types.Effect {
+	kind := trace.CallRefused
+	if err.Kind == fault.OutcomeUnknown {
+		kind = trace.CallUnknown
+	}
+	effects := []types.Effect{
+		trace.Count{Counter: trace.CallsFailed},
+		trace.Event{Kind: kind, Request: pr.call.Request, Detail: err.Error()},
+		Fail{Call: pr.call.ID, Err: err},
+	}
+	return append(effects, tb.finish(pr, now)...)
+}
+
+func (tb *Table) finish(pr *progress, now time.Time) []types.Effect {
+	var effects []types.Effect
+	for number := 1; number <= pr.attempts; number++ {
+		loser, ok := pr.open[number]
+		if !ok {
+			continue
+		}
+		tb.seams.Ended(route.Sample{ID: loser.target.ID, Elapsed: now.Sub(loser.started), Refused: true}, now)
+		effects = append(effects, CancelAttempt{Call: pr.call.ID, Attempt: number})
+	}
+	delete(tb.calls, pr.call.ID)
+	return effects
+}
+
+// final returns the error of a call that gets no further attempt.
+func (pr *progress) final() *fault.Error {
+	if pr.passed {
+		return fault.New(fault.OutcomeUnknown, "the key was passed on before and may have run: %s", pr.last.Message)
+	}
+	if pr.last == nil {
+		return fault.New(fault.NoUpstream, "service %q has no upstream that takes work", pr.call.Route.Service).
+			WithRetryAfter(defaultRetryAfter)
+	}
+	err := pr.last
+	if fault.AnswerOf(err.Kind).ComeBack {
+		err = err.WithRetryAfter(defaultRetryAfter)
+		if pr.shortest > 0 {
+			err = err.WithRetryAfter(pr.shortest)
+		}
+	}
+	if pr.lost {
+		err = err.WithOutcome(fault.Unknown)
+	}
+	return err
+}
+
+func unknown(cause *fault.Error) *fault.Error {
+	return fault.New(fault.OutcomeUnknown, "the work was sent and may have run: %s", cause.Message)
+}
+
+func sampleOf(target route.Candidate, event AttemptEnded) route.Sample {
+	return route.Sample{
+		ID:      target.ID,
+		Elapsed: event.Elapsed,
+		Load:    event.Load,
+		Refused: event.Verdict == NotRun || event.Verdict == Unsent,
+		Failed:  event.Verdict == Lost,
+	}
+}
--- a/flow/table.go
+++ b/flow/table.go
@@ -17,17 +17,32 @@
 
 // Call is one request of a caller.
 type Call struct {
-	ID       types.CallID
-	Request  types.RequestID
-	Key      types.Option[types.Key]
+	ID      types.CallID
+	Request types.RequestID
+	Key     types.Option[types.Key]
+	// Minted is when the key of a keyed call was made.
+	Minted   time.Time
 	Route    conf.Route
 	Deadline time.Time
 }
 
+// Keyed reports whether the call runs at most once under its key.
+func (c Call) Keyed() bool { return !c.Route.Idempotent && c.Key.IsSome() }
+
+// Choice is the owner that a keyed call goes to next.
+type Choice struct {
+	Target route.Candidate
+	// Last states that no other owner would be asked after it.
+	Last bool
+}
+
 // Seams are the decisions that a table takes from its surroundings.
 type Seams struct {
 	// Pick chooses the upstream of the next attempt, leaving out those tried.
 	Pick func(call Call, tried types.Set[types.InstanceID], now time.Time) (route.Candidate, bool)
+	// Next chooses the owner of a keyed call, leaving out those that passed
+	// the key on. The error tells why none may be asked.
+	Next func(call Call, passed types.Set[types.InstanceID], now time.Time) (Choice, *fault.Error)
 	// Began and Ended report attempts to the balance.
 	Began func(id types.InstanceID)
 	Ended func(sample route.Sample, now time.Time)
@@ -35,36 +50,83 @@
 
 // Table holds the calls in flight at one node.
 type Table struct {
-	seams Seams
-	calls map[types.CallID]*progress
+	seams      Seams
+	hedge      bool
+	calls      map[types.CallID]*progress
+	allowances map[types.ServiceName]*allowance
+	delays     map[types.RouteName]*delays
 }
 
 type progress struct {
 	call     Call
 	tried    types.Set[types.InstanceID]
-	open     map[int]route.Candidate
+	open     map[int]attempt
 	attempts int
 	lost     bool
+	// passed states that an owner had passed the key on before.
+	passed   bool
 	last     *fault.Error
+	shortest time.Duration
+}
+
+type attempt struct {
+	target  route.Candidate
+	started time.Time
+}
+
+// Option changes a setting of a table.
+type Option func(*Table)
+
+// WithHedge allows second attempts on the routes that ask for them.
+func WithHedge(allowed bool) Option {
+	return func(tb *Table) { tb.hedge = allowed }
 }
 
 // NewTable returns an empty table.
-func NewTable(seams Seams) *Table {
-	return &Table{seams: seams, calls: map[types.CallID]*progress{}}
+func NewTable(seams Seams, opts ...Option) *Table {
+	tb := &Table{
+		seams:      seams,
+		calls:      map[types.CallID]*progress{},
+		allowances: map[types.ServiceName]*allowance{},
+		delays:     map[types.RouteName]*delays{},
+	}
+	for _, opt := range opts {
+		opt(tb)
+	}
+	return tb
 }
 
 // Len returns the number of calls in flight.
 func (tb *Table) Len() int { return len(tb.calls) }
 
+// Keep drops what was learned of services and routes that are not configured.
+func (tb *Table) Keep(snapshot conf.Snapshot) {
+	services, routes := map[types.ServiceName]bool{}, map[types.RouteName]bool{}
+	for _, configured := range snapshot.Routes() {
+		services[configured.Service], routes[configured.Name] = true, true
+	}
+	for name := range tb.allowances {
+		if !services[name] {
+			delete(tb.allowances, name)
+		}
+	}
+	for name := range tb.delays {
+		if !routes[name] {
+			delete(tb.delays, name)
+		}
+	}
+}
+
 // Begin starts the first attempt of a call.
 func (tb *Table) Begin(call Call, now time.Time) []types.Effect {
-	pr := &progress{call: call, tried: types.NewSet[types.InstanceID](), open: map[int]route.Candidate{}}
+	pr := &progress{call: call, tried: types.NewSet[types.InstanceID](), open: map[int]attempt{}}
 	tb.calls[call.ID] = pr
 	effects := tb.next(pr, now)
 	if _, ok := tb.calls[call.ID]; !ok {
 		return effects
 	}
-	return append(effects, types.SetTimer{Timer: types.Timer{Kind: types.CallDeadline, Call: call.ID}, At: call.Deadline})
+	effects = append(effects, types.SetTimer{Timer: types.Timer{Kind: types.CallDeadline, Call: call.ID}, At: call.Deadline})
+	return append(effects, tb.planHedge(call, now)...)
 }
 
 // Ended moves a call on after an attempt.
@@ -73,28 +135,95 @@
 	if !ok {
 		return nil
 	}
-	target, ok := pr.open[event.Attempt]
+	ended, ok := pr.open[event.Attempt]
 	if !ok {
 		return nil
 	}
+	if event.Err == nil && event.Verdict != Answered {
+		event.Err = fault.New(fault.Internal, "the attempt ended without a reason")
+	}
 	delete(pr.open, event.Attempt)
-	tb.seams.Ended(sampleOf(target, event), now)
-	switch event.Verdict {
-	case Answered:
+	tb.seams.Ended(sampleOf(ended.target, event), now)
+	if event.Verdict == Answered {
+		tb.allowance(pr.call.Route.Service).retries.credit(retryShare)
+		tb.delay(pr.call.Route.Name).observe(event.Elapsed)
 		return tb.deliver(pr, event.Attempt, now)
-	case Lost:
-		pr.lost = true
-	case NotRun:
 	}
-	pr.last = event.Err
-	if pr.lost && !pr.call.Route.Idempotent {
-		return tb.fail(pr, unknown(event.Err), now)
+	tb.note(pr, event, now)
+	if err := pr.verdict(event); err != nil {
+		return tb.fail(pr, err, now)
 	}
 	if len(pr.open) > 0 {
 		return nil
 	}
-	effects := []types.Effect{trace.Count{Counter: trace.AttemptsRetried}}
-	return append(effects, tb.next(pr, now)...)
+	return tb.retry(pr, event, now)
+}
+
+// note keeps what the error of an attempt tells.
+func (tb *Table) note(pr *progress, event AttemptEnded, now time.Time) {
+	pr.last = event.Err
+	if event.Verdict == Lost {
+		pr.lost = true
+	}
+	if event.Verdict == NotRun && event.Err.Kind == fault.Overloaded {
+		tb.allowance(pr.call.Route.Service).refused = now
+	}
+	if event.PassedOn && event.Err.Outcome == fault.Unknown {
+		pr.passed = true
+	}
+	if wait := event.Err.RetryAfter; wait > 0 && (pr.shortest == 0 || wait < pr.shortest) {
+		pr.shortest = wait
+	}
+}
+
+// verdict returns the error that decides the call after an attempt, or nil if
+// another attempt may follow.
+func (pr *progress) verdict(event AttemptEnded) *fault.Error {
+	switch {
+	case !pr.call.Route.Idempotent && event.Verdict == Lost:
+		return unknown(event.Err)
+	case pr.call.Keyed() && event.Verdict == Unsent:
+		return fault.New(fault.OutcomeUnknown, "the owner of the key was not reached: %s", event.Err.Message)
+	case pr.call.Keyed() && !event.PassedOn:
+		return pr.final()
+	case event.Verdict == NotRun && !fault.AnswerOf(event.Err.Kind).ComeBack:
+		return pr.final()
+	default:
+		return nil
+	}
+}
+
+// retry starts another attempt if the deadline and the budget allow it.
+func (tb *Table) retry(pr *progress, event AttemptEnded, now time.Time) []types.Effect {
+	usual, _ := tb.delay(pr.call.Route.Name).quantile(usualShare)
+	if !now.Add(usual).Before(pr.call.Deadline) {
+		return tb.fail(pr, pr.final(), now)
+	}
+	if costs(event) && !tb.allowance(pr.call.Route.Service).retries.take(now) {
+		effects := []types.Effect{trace.Count{Counter: trace.RetriesDenied}}
+		return append(effects, tb.fail(pr, pr.final(), now)...)
+	}
+	attempts := pr.attempts
+	effects := tb.next(pr, now)
+	if pr.attempts == attempts {
+		return effects
+	}
+	retried := trace.Event{Kind: trace.CallRetried, Request: pr.call.Request, Detail: event.Err.Error()}
+	return append(effects, trace.Count{Counter: trace.AttemptsRetried}, retried)
+}
+
+// costs reports whether a retry after an attempt uses the budget: those that
+// reached no upstream and no busy owner do not add to the load.
+func costs(event AttemptEnded) bool {
+	if event.Verdict == Unsent || event.PassedOn && event.Err.Outcome == fault.Unknown {
+		return false
+	}
+	switch event.Err.Kind {
+	case fault.Stopping, fault.Closed, fault.NoUpstream, fault.NotReady:
+		return event.Verdict != NotRun
+	default:
+		return true
+	}
 }
 
 // Cancel gives a call up whose caller went away.
@@ -127,13 +256,33 @@
 	if pr.attempts >= maxAttempts {
 		return tb.fail(pr, pr.final(), now)
 	}
+	if pr.call.Keyed() {
+		return tb.nextOwner(pr, now)
+	}
 	target, ok := tb.seams.Pick(pr.call, pr.tried, now)
 	if !ok {
 		return tb.fail(pr, pr.final(), now)
 	}
+	return tb.start(pr, Choice{Target: target}, now)
+}
+
+func (tb *Table) nextOwner(pr *progress, now time.Time) []types.Effect {
+	choice, err := tb.seams.Next(pr.call, pr.tried, now)
+	if err != nil {
+		return tb.fail(pr, err, now)
+	}
+	if choice.Target.ID == "" {
+		return tb.fail(pr, pr.final(), now)
+	}
+	choice.Last = choice.Last || pr.attempts+1 == maxAttempts
+	return tb.start(pr, choice, now)
+}
+
+func (tb *Table) start(pr *progress, choice Choice, now time.Time) []types.Effect {
+	target := choice.Target
 	pr.attempts++
 	pr.tried = pr.tried.With(target.ID)
-	pr.open[pr.attempts] = target
+	pr.open[pr.attempts] = attempt{target: target, started: now}
 	tb.seams.Began(target.ID)
 	return []types.Effect{
 		trace.Count{Counter: trace.AttemptsStarted},
@@ -145,67 +294,25 @@
 			Route:    pr.call.Route,
 			Key:      pr.call.Key,
 			Deadline: pr.call.Deadline,
+			Last:     choice.Last,
 		},
 	}
 }
 
-func (tb *Table) deliver(pr *progress, attempt int, now time.Time) []types.Effect {
-	effects := []types.Effect{trace.Count{Counter: trace.CallsDelivered}, Deliver{Call: pr.call.ID, Attempt: attempt}}
-	return append(effects, tb.finish(pr, now)...)
-}
-
-func (tb *Table) fail(pr *progress, err *fault.Error, now time.Time) []types.Effect {
-	kind := trace.CallRefused
-	if err.Kind == fault.OutcomeUnknown {
-		kind = trace.CallUnknown
-	}
-	effects := []types.Effect{
-		trace.Count{Counter: trace.CallsFailed},
-		trace.Event{Kind: kind, Request: pr.call.Request, Detail: err.Error()},
-		Fail{Call: pr.call.ID, Err: err},
-	}
-	return append(effects, tb.finish(pr, now)...)
-}
-
-func (tb *Table) finish(pr *progress, now time.Time) []types.Effect {
-	var effects []types.Effect
-	for attempt := 1; attempt <= pr.attempts; attempt++ {
-		target, ok := pr.open[attempt]
-		if !ok {
-			continue
-		}
-		tb.seams.Ended(route.Sample{ID: target.ID, Refused: true}, now)
-		effects = append(effects, CancelAttempt{Call: pr.call.ID, Attempt: attempt})
-	}
-	delete(tb.calls, pr.call.ID)
-	return effects
-}
-
-func (pr *progress) final() *fault.Error {
-	if pr.last == nil {
-		return fault.New(fault.NoUpstream, "service %q has no upstream that takes work", pr.call.Route.Service).
-			WithRetryAfter(defaultRetryAfter)
-	}
-	err := pr.last
-	if err.RetryAfter == 0 && fault.AnswerOf(err.Kind).ComeBack {
-		err = err.WithRetryAfter(defaultRetryAfter)
-	}
-	if pr.lost {
-		err = err.WithOutcome(fault.Unknown)
+func (tb *Table) allowance(service types.ServiceName) *allowance {
+	al, ok := tb.allowances[service]
+	if !ok {
+		al = newAllowance()
+		tb.allowances[service] = al
 	}
-	return err
-}
-
-func unknown(cause *fault.Error) *fault.Error {
-	return fault.New(fault.OutcomeUnknown, "the work was sent and may have run: %s", cause.Message)
+	return al
 }
 
-func sampleOf(target route.Candidate, event AttemptEnded) route.Sample {
-	return route.Sample{
-		ID:      target.ID,
-		Elapsed: event.Elapsed,
-		Load:    event.Load,
-		Refused: event.Verdict == NotRun,
-		Failed:  event.Verdict == Lost,
+func (tb *Table) delay(name types.RouteName) *delays {
+	dl, ok := tb.delays[name]
+	if !ok {
+		dl = &delays{}
+		tb.delays[name] = dl
 	}
+	return dl
 }
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,8 @@
 	"sequoiamill.example/sequoiamill/types"
 )
 
+const headerForwardedFor = "X-Forwarded-For"
+
 // Entry takes the requests of callers.
 type Entry struct {
 	self    types.InstanceID
@@ -76,7 +80,7 @@
 	en.post(flow.CallArrived{Call: id, Request: job.Request, Key: job.Key, Target: target, Limit: limit})
 	select {
 	case end := <-open.done:
-		en.write(writer, job.Request, end)
+		en.write(writer, job, end)
 		if end.err == nil {
 			en.owner.meters.EntryResidence(en.now().Sub(start) - end.away)
 		}
@@ -91,20 +95,44 @@
 	if err != nil {
 		return job, limit, err
 	}
+	if err := refuseTunnel(request); err != nil {
+		return job, limit, err
+	}
 	job.Key = keyOf(request.Header)
-	job.Header = stripOwnHeaders(request.Header)
+	job.Header = callerHeaders(request)
 	body, readErr := readBody(request.Body, en.maxBody)
 	if readErr != nil {
-		known := fault.From(readErr)
-		if known.Kind == fault.Internal {
-			known = fault.Wrap(fault.InvalidInput, readErr, "read the request")
-		}
-		return job, limit, known
+		return job, limit, bodyFault(readErr)
 	}
 	job.Body = body
 	return job, limit, nil
 }
 
+// refuseTunnel returns an error for requests that ask for another protocol.
+func refuseTunnel(request *http.Request) *fault.Error {
+	upgrade := request.Header.Get("Upgrade")
+	if request.Method == http.MethodConnect {
+		return fault.New(fault.InvalidInput, "the method CONNECT is not supported")
+	}
+	if upgrade != "" && upgrade != "h2c" {
+		return fault.New(fault.InvalidInput, "the upgrade to %q is not supported", upgrade)
+	}
+	return nil
+}
+
+// callerHeaders returns the headers that go on to the upstream.
+func callerHeaders(request *http.Request) http.Header {
+	header := stripOwnHeaders(request.Header)
+	if host, _, err := net.SplitHostPort(request.RemoteAddr); err == nil {
+		chain := append(header.Values(headerForwardedFor), host)
+		header.Set(headerForwardedFor, strings.Join(chain, ", "))
+	}
+	if header.Get("User-Agent") == "" {
+		header["User-Agent"] = []string{""}
+	}
+	return header
+}
+
 func newRequestID() types.RequestID {
 	id, err := uuid.NewV7()
 	if err != nil {
@@ -157,6 +185,8 @@
 	job := open.job
 	job.Route = effect.Route
 	job.Deadline = effect.Deadline
+	job.Key = effect.Key
+	job.Last = effect.Last
 	ctx, cancel := context.WithDeadline(context.Background(), effect.Deadline)
 	en.mu.Lock()
 	if len(open.attempts) == 0 {
@@ -186,12 +216,13 @@
 	attempt.cancel()
 	en.mu.Unlock()
 	en.post(flow.AttemptEnded{
-		Call:    effect.Call,
-		Attempt: effect.Attempt,
-		Verdict: reply.Verdict,
-		Err:     reply.Err,
-		Load:    reply.Load,
-		Elapsed: ended.Sub(start),
+		Call:     effect.Call,
+		Attempt:  effect.Attempt,
+		Verdict:  reply.Verdict,
+		Err:      reply.Err,
+		Load:     reply.Load,
+		PassedOn: reply.PassedOn,
+		Elapsed:  ended.Sub(start),
 	})
 }
 
@@ -238,20 +269,28 @@
 	delete(en.calls, id)
 }
 
-func (en *Entry) write(writer http.ResponseWriter, request types.RequestID, end result) {
+func (en *Entry) write(writer http.ResponseWriter, job Job, end result) {
 	if end.err != nil {
-		writeFault(writer, request, end.err)
+		writeFault(writer, job.Request, end.err)
 		return
 	}
+	answer := end.answer
 	header := writer.Header()
-	for name, values := range end.answer.Header {
+	for name, values := range answer.Header {
 		header[name] = values
 	}
-	header.Set(HeaderRequestID, string(request))
+	header.Set(HeaderRequestID, string(job.Request))
 	header.Set(HeaderOutcome, fault.Ran.String())
-	header.Set("Content-Length", strconv.Itoa(len(end.answer.Body)))
-	writer.WriteHeader(end.answer.Status)
-	_, _ = writer.Write(end.answer.Body)
+	if hasBody(job.Method, answer.Status) {
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	if length, ok := answer.Length.Get(); ok {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	writer.WriteHeader(answer.Status)
+	if hasBody(job.Method, answer.Status) {
+		_, _ = writer.Write(answer.Body)
+	}
 }
 
 type faultWire struct {
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -1,15 +1,13 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/flow"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -41,20 +39,17 @@
 
 // Do sends a job to its owner and returns how it ended.
 func (fw *Forwarder) Do(ctx context.Context, address types.Address, job Job) Reply {
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(address)+ForwardPath, nil)
+	var used usedConn
+	request, err := http.NewRequestWithContext(used.trace(ctx), http.MethodPost, "http://"+string(address)+ForwardPath, nil)
 	if err != nil {
 		return refusal(fault.Wrap(fault.Internal, err, "make the forwarded call"))
 	}
-	request.Body = onceBody{bytes.NewReader(job.Body)}
-	request.ContentLength = int64(len(job.Body))
-	request.GetBody = nil
+	setBodyOnce(request, job.Body)
 	request.Header = stripHopHeaders(job.Header)
 	writeJobHeaders(request.Header, job, fw.now())
 	response, err := fw.client.Do(request)
-	if err != nil && !sent.Load() {
-		return refusal(fault.Wrap(fault.Unreachable, err, "connect to the owner"))
+	if err != nil && !used.sent() {
+		return Reply{Verdict: flow.Unsent, Err: fault.Wrap(fault.Unreachable, err, "connect to the owner")}
 	}
 	if err != nil {
 		return lost(fault.Wrap(fault.Unreachable, err, "wait for the owner"))
@@ -62,6 +57,7 @@
 	defer func() { _ = response.Body.Close() }()
 	reply, err := readReply(response, job.Request, fw.maxBody)
 	if err != nil {
+		used.close()
 		return lost(fault.Wrap(fault.BrokenAnswer, err, "read the owner's answer"))
 	}
 	return reply
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -1,10 +1,8 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,11 +34,22 @@
 	client  *http.Client
 }
 
+// openJob is a job that waits for its answer or keeps it for others.
 type openJob struct {
 	job    Job
 	reply  chan Reply
 	ctx    context.Context
 	cancel context.CancelFunc
+	// result is the upstream's answer to a keyed job.
+	result atomic.Pointer[Reply]
+}
+
+// answer gives the job its reply; later ones are ignored.
+func (oj *openJob) answer(reply Reply) {
+	select {
+	case oj.reply <- reply:
+	default:
+	}
 }
 
 // OwnerOption changes a setting of an owner.
@@ -79,14 +88,16 @@
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// Do runs a job and returns how it ended.
+// Do runs a job and returns how it ended. A keyed job that was sent to the
+// upstream goes on when the context ends.
 func (ow *Owner) Do(ctx context.Context, job Job) Reply {
 	id := types.WorkID(ow.nextID.Add(1))
 	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), job.Deadline)
-	defer cancel()
 	open := &openJob{job: job, reply: make(chan Reply, 1), ctx: runCtx, cancel: cancel}
 	ow.put(id, open)
-	defer ow.remove(id)
+	if !job.keyed() {
+		defer ow.forget(id)
+	}
 	ow.post(admit.Arrived{Work: workOf(id, job)})
 	select {
 	case reply := <-open.reply:
@@ -103,7 +114,7 @@
 }
 
 func workOf(id types.WorkID, job Job) admit.Work {
-	return admit.Work{
+	work := admit.Work{
 		ID:         id,
 		Request:    job.Request,
 		Entry:      job.Entry,
@@ -112,8 +123,13 @@
 		Importance: job.Route.Importance,
 		Idempotent: job.Route.Idempotent,
 		Key:        job.Key,
+		Last:       job.Last,
 		Deadline:   job.Deadline,
 	}
+	if job.keyed() {
+		work.Fingerprint = job.fingerprint()
+	}
+	return work
 }
 
 // Run carries out the effects of admission and reports whether the effect was
@@ -122,22 +138,47 @@
 	switch ef := effect.(type) {
 	case admit.Dispatch:
 		if open, ok := ow.get(ef.Work.ID); ok {
-			go ow.dispatch(ef.Work.ID, open)
+			go ow.dispatch(ef.Work, open)
 		}
 	case admit.Refuse:
 		if open, ok := ow.get(ef.Work.ID); ok {
-			open.reply <- refusal(ef.Err)
+			open.answer(refusal(ef.Err))
 		}
 	case admit.Abort:
 		if open, ok := ow.get(ef.ID); ok {
 			open.cancel()
 		}
+	case flow.Settle:
+		if open, ok := ow.get(ef.Work); ok {
+			open.answer(Reply{Verdict: ef.Verdict, Err: ef.Err, PassedOn: ef.PassedOn})
+		}
+	case flow.Replay:
+		ow.replay(ef)
+	case flow.Forget:
+		ow.forget(ef.Work)
 	default:
 		return false
 	}
 	return true
 }
 
+func (ow *Owner) replay(effect flow.Replay) {
+	open, ok := ow.get(effect.Work)
+	if !ok {
+		return
+	}
+	first, ok := ow.get(effect.Of)
+	if !ok || first.result.Load() == nil {
+		open.answer(lost(fault.New(fault.OutcomeUnknown, "the work ran and its answer is no longer kept")))
+		return
+	}
+	reply := *first.result.Load()
+	if open != first {
+		reply.AtUpstream = 0
+	}
+	open.answer(reply)
+}
+
 func (ow *Owner) put(id types.WorkID, open *openJob) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
@@ -151,49 +192,66 @@
 	return open, ok
 }
 
-func (ow *Owner) remove(id types.WorkID) {
+func (ow *Owner) forget(id types.WorkID) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	delete(ow.jobs, id)
+	if open, ok := ow.jobs[id]; ok {
+		open.cancel()
+		delete(ow.jobs, id)
+	}
 }
 
-func (ow *Owner) dispatch(id types.WorkID, open *openJob) {
+func (ow *Owner) dispatch(work admit.Work, open *openJob) {
 	start := ow.now()
-	reply := ow.send(open.ctx, open.job)
+	reply := ow.send(open.ctx, open.job, work.RequireEcho)
 	reply.AtUpstream = ow.now().Sub(start)
-	ended := admit.Ended{ID: id, Elapsed: reply.AtUpstream, Whole: reply.Verdict == flow.Answered}
+	ended := admit.Ended{
+		ID:      work.ID,
+		Err:     reply.Err,
+		Elapsed: reply.AtUpstream,
+		Size:    len(reply.Answer.Body),
+		Whole:   reply.Verdict == flow.Answered,
+	}
 	switch reply.Verdict {
 	case flow.Answered:
 		ended.Ran = fault.Ran
-	case flow.Lost:
-		ended.Ran = fault.Unknown
-	case flow.NotRun:
+	case flow.NotRun, flow.Unsent:
 		ended.Ran = fault.NotRun
+	default:
+		ended.Ran = fault.Unknown
+	}
+	if work.Keyed() {
+		open.result.Store(&reply)
+		ow.post(ended)
+		return
 	}
 	ow.post(ended)
-	open.reply <- reply
+	open.answer(reply)
 }
 
-func (ow *Owner) send(ctx context.Context, job Job) Reply {
+func (ow *Owner) send(ctx context.Context, job Job, requireEcho bool) Reply {
 	upstream := ow.target.Load()
 	if upstream == nil {
 		return refusal(fault.New(fault.NoUpstream, "the node owns no upstream"))
 	}
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
-	request, err := upstreamRequest(ctx, upstream.address, job, ow.now())
+	var used usedConn
+	request, err := upstreamRequest(used.trace(ctx), upstream.address, job, ow.now())
 	if err != nil {
 		return refusal(fault.Wrap(fault.InvalidInput, err, "make the upstream's request"))
 	}
 	response, err := upstream.client.Do(request)
-	if err != nil && !sent.Load() {
+	if err != nil && !used.sent() {
 		return refusal(fault.Wrap(fault.Unreachable, err, "connect to the upstream"))
 	}
 	if err != nil {
 		return lost(fault.Wrap(fault.BrokenAnswer, err, "wait for the upstream"))
 	}
 	defer func() { _ = response.Body.Close() }()
-	return ow.readAnswer(response, job)
+	reply := ow.readAnswer(response, job, requireEcho)
+	if reply.Verdict == flow.Lost {
+		used.close()
+	}
+	return reply
 }
 
 func upstreamRequest(ctx context.Context, address types.Address, job Job, now time.Time) (*http.Request, error) {
@@ -201,27 +259,18 @@
 	if err != nil {
 		return nil, err
 	}
-	request.Body = onceBody{bytes.NewReader(job.Body)}
-	request.ContentLength = int64(len(job.Body))
-	request.GetBody = nil
+	setBodyOnce(request, job.Body)
 	request.Header = stripHopHeaders(job.Header)
+	if request.Header.Get("User-Agent") == "" {
+		request.Header["User-Agent"] = []string{""}
+	}
 	request.Host = job.Host
 	request.Header.Set(HeaderRequestID, string(job.Request))
 	request.Header.Set(HeaderTimeLeft, formatMicros(job.Deadline.Sub(now)))
-	return request, nil
-}
-
-func (ow *Owner) readAnswer(response *http.Response, job Job) Reply {
-	echo := response.Header.Get(HeaderRequestID)
-	if echo != "" && echo != string(job.Request) {
-		return lost(fault.New(fault.BrokenAnswer, "the upstream answered the request %q", echo))
+	if key, ok := job.Key.Get(); ok {
+		request.Header.Set(HeaderKey, string(key))
 	}
-	body, err := readBody(response.Body, ow.maxBody)
-	if err != nil {
-		return lost(fault.Wrap(fault.BrokenAnswer, err, "read the upstream's answer"))
-	}
-	answer := Answer{Status: response.StatusCode, Header: stripOwnHeaders(response.Header), Body: body}
-	return Reply{Verdict: flow.Answered, Answer: answer}
+	return request, nil
 }
 
 // ServeHTTP takes work from other nodes.
@@ -234,7 +283,7 @@
 	}
 	job.Body, err = readBody(request.Body, ow.maxBody)
 	if err != nil {
-		writeReply(writer, job.Request, refusal(fault.Wrap(fault.InvalidInput, err, "read the forwarded call")))
+		writeReply(writer, job.Request, refusal(bodyFault(err)))
 		return
 	}
 	reply := ow.Do(request.Context(), job)
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -13,6 +13,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,6 +49,9 @@
 	headerOutstanding = "Sequoiamill-Outstanding"
 	headerQueued      = "Sequoiamill-Queued"
 	headerRetryAfter  = "Sequoiamill-Retry-After-Millis"
+	headerLast        = "Sequoiamill-Last"
+	headerPassedOn    = "Sequoiamill-Passed-On"
+	headerLength      = "Sequoiamill-Length"
 	headerAtOwner     = "Sequoiamill-At-Owner-Micros"
 )
 
@@ -58,7 +62,7 @@
 
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 }
 
 // Answer is the whole answer of an upstream.
@@ -66,6 +70,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Length is the length that an answer without a body states.
+	Length types.Option[int64]
 }
 
 // Job is one attempt with all that the upstream needs.
@@ -80,6 +86,21 @@
 	Host     string
 	Header   http.Header
 	Body     []byte
+	// Last states that no other owner will be asked for the key.
+	Last bool
+}
+
+// keyed reports whether the job runs at most once under its key.
+func (j Job) keyed() bool { return !j.Route.Idempotent && j.Key.IsSome() }
+
+// fingerprint tells apart different requests under one key.
+func (j Job) fingerprint() uint64 {
+	hash := xxhash.New()
+	for _, text := range []string{j.Method, j.Host, j.URI} {
+		_, _ = hash.WriteString(text + "\n")
+	}
+	_, _ = hash.Write(j.Body)
+	return hash.Sum64()
 }
 
 // Reply is how a job ended at its owner.
@@ -88,6 +109,8 @@
 	Err     *fault.Error
 	Load    route.Load
 	Answer  Answer
+	// PassedOn states that the owner will never run the job's key.
+	PassedOn bool
 	// AtUpstream and AtOwner are the times spent there.
 	AtUpstream time.Duration
 	AtOwner    time.Duration
@@ -104,6 +127,11 @@
 	if clean == nil {
 		clean = http.Header{}
 	}
+	for _, list := range header.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			clean.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
 		clean.Del(name)
 	}
@@ -132,13 +160,16 @@
 	return text, nil
 }
 
-func digestOf(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
-
-// onceBody is a request body that the transport cannot replay.
-type onceBody struct{ io.Reader }
+// bodyFault returns the error of a request whose body could not be read.
+func bodyFault(err error) *fault.Error {
+	known := fault.From(err)
+	if known.Kind == fault.Internal {
+		return fault.Wrap(fault.InvalidInput, err, "read the request")
+	}
+	return known
+}
 
-// Close does nothing.
-func (onceBody) Close() error { return nil }
+func digestOf(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
 
 func writeJobHeaders(header http.Header, job Job, now time.Time) {
 	header.Set(HeaderRequestID, string(job.Request))
@@ -154,6 +185,9 @@
 	if key, ok := job.Key.Get(); ok {
 		header.Set(HeaderKey, string(key))
 	}
+	if job.Last {
+		header.Set(headerLast, "true")
+	}
 }
 
 func readJobHeaders(header http.Header, now time.Time) (Job, error) {
@@ -181,6 +215,7 @@
 		Key:      keyOf(header),
 		Deadline: now.Add(time.Duration(left) * time.Microsecond),
 		Method:   header.Get(headerMethod),
+		Last:     header.Get(headerLast) != "",
 		URI:      header.Get(headerURI),
 		Host:     header.Get(headerHost),
 		Header:   stripOwnHeaders(header),
@@ -212,8 +247,15 @@
 	if reply.Err != nil {
 		body = []byte(reply.Err.Message)
 		header.Set(HeaderErrorKind, reply.Err.Kind.String())
+		header.Set(HeaderOutcome, reply.Err.Outcome.String())
 		header.Set(headerRetryAfter, strconv.FormatInt(reply.Err.RetryAfter.Milliseconds(), 10))
 	}
+	if reply.PassedOn {
+		header.Set(headerPassedOn, "true")
+	}
+	if length, ok := reply.Answer.Length.Get(); ok {
+		header.Set(headerLength, strconv.FormatInt(length, 10))
+	}
 	header.Set(headerStatus, strconv.Itoa(reply.Answer.Status))
 	header.Set(headerDigest, digestOf(body))
 	header.Set("Content-Length", strconv.Itoa(len(body)))
@@ -238,14 +280,18 @@
 	switch header.Get(headerVerdict) {
 	case flow.Answered.String():
 		status, err := strconv.Atoi(header.Get(headerStatus))
-		if err != nil {
+		if err != nil || status < http.StatusOK {
 			return Reply{}, fault.New(fault.BrokenAnswer, "the answer's status is %q", header.Get(headerStatus))
 		}
 		reply.Verdict = flow.Answered
 		reply.Answer = Answer{Status: status, Header: stripOwnHeaders(header), Body: body}
+		if length, err := strconv.ParseInt(header.Get(headerLength), 10, 64); err == nil {
+			reply.Answer.Length = types.Some(length)
+		}
 		return reply, nil
 	case flow.NotRun.String():
 		reply.Verdict = flow.NotRun
+		reply.PassedOn = header.Get(headerPassedOn) != ""
 	default:
 		reply.Verdict = flow.Lost
 	}
@@ -262,5 +308,9 @@
 func faultOf(header http.Header, body []byte) *fault.Error {
 	kind, _ := fault.ParseKind(header.Get(HeaderErrorKind))
 	millis, _ := strconv.ParseInt(header.Get(headerRetryAfter), 10, 64)
-	return fault.New(kind, "%s", body).WithRetryAfter(time.Duration(millis) * time.Millisecond)
+	err := fault.New(kind, "%s", body).WithRetryAfter(time.Duration(max(millis, 0)) * time.Millisecond)
+	if header.Get(HeaderOutcome) == fault.Unknown.String() {
+		err = err.WithOutcome(fault.Unknown)
+	}
+	return err
 }
