--- a/flow/table.go
+++ b/flow/table.go
@@ -58,8 +58,10 @@
 }
 
 type progress struct {
-	call     Call
-	tried    types.Set[types.InstanceID]
+	call  Call
+	tried types.Set[types.InstanceID]
+	// refused holds those of the tried that did not take the work.
+	refused  types.Set[types.InstanceID]
 	open     map[int]attempt
 	attempts int
 	lost     bool
@@ -119,7 +121,8 @@
 
 // Begin starts the first attempt of a call.
 func (tb *Table) Begin(call Call, now time.Time) []types.Effect {
-	pr := &progress{call: call, tried: types.NewSet[types.InstanceID](), open: map[int]attempt{}}
+
+	pr := &progress{call: call, open: map[int]attempt{}}
 	tb.calls[call.ID] = pr
 	effects := tb.next(pr, now)
 	if _, ok := tb.calls[call.ID]; !ok {
@@ -149,7 +152,7 @@
 		tb.delay(pr.call.Route.Name).observe(event.Elapsed)
 		return tb.deliver(pr, event.Attempt, now)
 	}
-	tb.note(pr, event, now)
+	tb.note(pr, ended.target.ID, event, now)
 	if err := pr.verdict(event); err != nil {
 		return tb.fail(pr, err, now)
 	}
@@ -160,10 +163,12 @@
 }
 
 // note keeps what the error of an attempt tells.
-func (tb *Table) note(pr *progress, event AttemptEnded, now time.Time) {
+func (tb *Table) note(pr *progress, target types.InstanceID, event AttemptEnded, now time.Time) {
 	pr.last = event.Err
 	if event.Verdict == Lost {
 		pr.lost = true
+	} else {
+		pr.refused = pr.refused.With(target)
 	}
 	if event.Verdict == NotRun && event.Err.Kind == fault.Overloaded {
 		tb.allowance(pr.call.Route.Service).refused = now
@@ -199,7 +204,7 @@
 	if !now.Add(usual).Before(pr.call.Deadline) {
 		return tb.fail(pr, pr.final(), now)
 	}
-	if costs(event) && !tb.allowance(pr.call.Route.Service).retries.take(now) {
+	if (pr.lost || costs(event)) && !tb.allowance(pr.call.Route.Service).retries.take(now) {
 		effects := []types.Effect{trace.Count{Counter: trace.RetriesDenied}}
 		return append(effects, tb.fail(pr, pr.final(), now)...)
 	}
@@ -260,6 +265,9 @@
 		return tb.nextOwner(pr, now)
 	}
 	target, ok := tb.seams.Pick(pr.call, pr.tried, now)
+	if !ok && pr.lost {
+		target, ok = tb.seams.Pick(pr.call, pr.refused, now)
+	}
 	if !ok {
 		return tb.fail(pr, pr.final(), now)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -91,6 +91,7 @@
 	if err := nd.listen(); err != nil {
 		return nil, err
 	}
+	nd.store = nd.meters.store(store)
 	nd.assemble()
 	return nd, nil
 }
@@ -119,9 +120,14 @@
 		Region:      nd.settings.Region,
 		Started:     started.Truncate(time.Millisecond),
 	}
-	options := append([]core.Option{core.WithSeed(nd.settings.Seed), core.WithPolicies(nd.settings.Policies)}, nd.options...)
+	options := []core.Option{
+		core.WithSeed(nd.settings.Seed),
+		core.WithPolicies(nd.settings.Policies),
+		core.WithKeys(nd.settings.Keys),
+	}
+	options = append(options, nd.options...)
 	nd.loop = &loop{state: core.New(self, options...), now: nd.now, run: nd.run}
-	nd.peers = peer.NewClient(nd.clock, nd.now)
+	nd.peers = peer.NewClient(nd.clock, nd.now, peer.WithMeter(nd.meters.control), peer.WithInstance(nd.settings.Instance))
 	nd.owner = proxy.NewOwner(nd.loop.post, nd.load, nd.now,
 		proxy.WithMaxBody(nd.settings.MaxBody), proxy.WithMeters(nd.meters.residence()))
 	forward := proxy.NewForwarder(nd.now, nd.settings.MaxBody)
--- a/node/settings.go
+++ b/node/settings.go
@@ -13,6 +13,7 @@
 
 	"sequoiamill.example/sequoiamill/core"
 	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/flow"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -35,8 +36,10 @@
 	MaxBody int64
 	// StopLimit bounds a graceful stop.
 	StopLimit time.Duration
-	Seed      uint64
-	Policies  core.Policies
+	// Keys bound the ages of idempotency keys.
+	Keys     flow.KeyLimits
+	Seed     uint64
+	Policies core.Policies
 }
 
 // Validate returns one error that names each fault of the settings.
@@ -63,6 +66,12 @@
 	if s.StopLimit <= 0 {
 		faults = append(faults, "stop-limit must be above 0")
 	}
+	if s.Keys.Margin < 0 {
+		faults = append(faults, "key-margin must not be below 0")
+	}
+	if s.Keys.Retention <= s.Keys.Margin {
+		faults = append(faults, "key-retention must be above key-margin")
+	}
 	if err := s.Policies.Validate(); err != nil {
 		faults = append(faults, fault.From(err).Message)
 	}
--- a/proxy/once.go
+++ b/proxy/once.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -43,8 +42,8 @@
 // setBodyOnce gives a request a body that the transport cannot replay. An
 // empty one is no exception: the transport would send the request again on
 // another connection.
-func setBodyOnce(request *http.Request, body []byte) {
-	request.Body = io.NopCloser(bytes.NewReader(body))
-	request.ContentLength = int64(len(body))
+func setBodyOnce(request *http.Request, body io.Reader, size int) {
+	request.Body = io.NopCloser(body)
+	request.ContentLength = int64(size)
 	request.GetBody = nil
 }
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"sync"
@@ -259,7 +260,7 @@
 	if err != nil {
 		return nil, err
 	}
-	setBodyOnce(request, job.Body)
+	setBodyOnce(request, bytes.NewReader(job.Body), len(job.Body))
 	request.Header = stripHopHeaders(job.Header)
 	if request.Header.Get("User-Agent") == "" {
 		request.Header["User-Agent"] = []string{""}
@@ -286,7 +287,7 @@
 		writeReply(writer, job.Request, refusal(bodyFault(err)))
 		return
 	}
-	reply := ow.Do(request.Context(), job)
+	reply := ow.doWithHeartbeat(request.Context(), writer, job)
 	reply.AtOwner = ow.now().Sub(start)
 	writeReply(writer, job.Request, reply)
 	ow.observe(start, reply)
