--- a/core/state.go
+++ b/core/state.go
@@ -21,6 +21,7 @@
 	balance  *route.Balance
 	gate     *admit.Gate
 	calls    *flow.Table
+	keys     keys
 	upstream local
 	policies Policies
 	lastTick time.Time
@@ -35,6 +36,8 @@
 	policies Policies
 	gate     []admit.Option
 	linger   time.Duration
+	limits   flow.KeyLimits
+	ledger   []flow.LedgerOption
 }
 
 // Option changes a setting of a state.
@@ -61,9 +64,14 @@
 	return func(se *settings) { se.linger = linger }
 }
 
+// WithKeys sets the limits of idempotency keys and options of the ledger.
+func WithKeys(limits flow.KeyLimits, opts ...flow.LedgerOption) Option {
+	return func(se *settings) { se.limits, se.ledger = limits, opts }
+}
+
 // New returns the state of a node that has just started.
 func New(self fleet.Member, opts ...Option) *State {
-	se := settings{policies: DefaultPolicies()}
+	se := settings{policies: DefaultPolicies(), limits: flow.DefaultKeyLimits()}
 	for _, opt := range opts {
 		opt(&se)
 	}
@@ -72,10 +80,12 @@
 		conf:     conf.NewHolder(),
 		balance:  route.NewBalance(se.policies.balance(), route.WithSeed(se.seed)),
 		gate:     admit.NewGate(se.gate...),
+		keys:     newKeys(se.limits, se.ledger),
 		policies: se.policies,
 		stop:     stop{linger: se.linger},
 	}
-	st.calls = flow.NewTable(flow.Seams{Pick: st.pick, Began: st.balance.Began, Ended: st.balance.Ended})
+	seams := flow.Seams{Pick: st.pick, Next: st.nextOwner, Began: st.balance.Began, Ended: st.balance.Ended}
+	st.calls = flow.NewTable(seams, flow.WithHedge(se.policies.Hedge))
 	return st
 }
 
@@ -90,15 +100,18 @@
 	return route.Load{Outstanding: st.gate.Running(), Queued: st.gate.Queued()}
 }
 
-// Ready reports whether the node may serve callers.
+// Ready reports whether the node may serve callers. It is not ready before
+// it can know the keys that callers mint.
 func (st *State) Ready() bool {
-	return st.conf.Ready() && st.joined() && !st.stop.asked
+	return st.conf.Ready() && st.joined() && st.keys.settled && !st.stop.asked
 }
 
 // Step applies one event and returns its effects in order.
 func (st *State) Step(event types.Event, now time.Time) []types.Effect {
 	effects := st.noticePause(now)
-	effects = append(effects, st.apply(event, now)...)
+	st.watchKeys(now)
+	effects = st.settleKeys(append(effects, st.apply(event, now)...))
+	st.trackKeys(event, now)
 	return append(effects, st.checkDrained(now)...)
 }
 
@@ -130,9 +143,9 @@
 	case admit.Arrived:
 		return st.workArrived(ev.Work, now)
 	case admit.Ended:
-		return st.gate.End(ev.ID, ev.Elapsed)
+		return append(st.keys.ledger.Ended(ev, now), st.gate.End(ev.ID, ev.Elapsed)...)
 	case admit.Canceled:
-		return st.gate.Withdraw(ev.ID)
+		return st.workCanceled(ev.ID)
 	default:
 		return nil
 	}
@@ -143,6 +156,7 @@
 	effects := st.fleet.Tick(now)
 	effects = append(effects, st.fleetEvents(effects, now)...)
 	effects = append(effects, st.refreshUpstream(now)...)
+	effects = append(effects, st.keys.ledger.Sweep(now)...)
 	return append(effects, st.electDelegate()...)
 }
 
@@ -150,6 +164,8 @@
 	switch timer.Kind {
 	case types.CallDeadline:
 		return st.calls.Expire(timer.Call, now)
+	case types.CallHedge:
+		return st.calls.Hedge(timer.Call, now)
 	case types.QueueDeadline:
 		return st.gate.Expire(timer.Work)
 	default:
@@ -164,6 +180,7 @@
 		switch ef := effect.(type) {
 		case conf.Adopted:
 			st.routes = route.NewTable(ef.Snapshot)
+			st.calls.Keep(ef.Snapshot)
 			st.fleet.Hold(ef.Snapshot.Version(), ef.Snapshot.Digest())
 			events = append(events, trace.Event{Kind: trace.ConfigAdopted, Version: ef.Snapshot.Version()})
 			events = append(events, st.refreshUpstream(now)...)
--- a/node/node.go
+++ b/node/node.go
@@ -133,7 +133,13 @@
 		Region:      nd.settings.Region,
 		Started:     started.Truncate(time.Millisecond),
 	}
-	options := append([]core.Option{core.WithSeed(nd.settings.Seed), core.WithPolicies(nd.settings.Policies), core.WithLinger(nd.settings.StopLinger)}, nd.options...)
+	options := []core.Option{
+		core.WithSeed(nd.settings.Seed),
+		core.WithPolicies(nd.settings.Policies),
+		core.WithKeys(nd.settings.Keys),
+		core.WithLinger(nd.settings.StopLinger),
+	}
+	options = append(options, nd.options...)
 	nd.loop = &loop{state: core.New(self, options...), now: nd.now, run: nd.run}
 	nd.peers = peer.NewClient(nd.clock, nd.now, peer.WithMeter(nd.meters.control), peer.WithInstance(nd.settings.Instance))
 	nd.owner = proxy.NewOwner(nd.loop.post, nd.load, nd.now,
