Measure fleets of real processes under open-loop load

Cause: the figures of convergence, control traffic and service under load had no command that reproduces them. Change: package bench starts a layout as processes on loopback (nodes, a platform and stand-in upstreams, all by running the same program again), offers a seeded schedule of calls, checks each answer and reports medians and spread over interleaved runs of the product and its baseline.

--- /dev/null
+++ b/bench/caller.go
@@ -0,0 +1,218 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/google/uuid"
+
+	"sequoiamill.example/sequoiamill/proxy"
+)
+
+const (
+	idlePerHost   = 1024
+	longestCall   = 60 * time.Second
+	digits        = 3
+	maxInFlight   = 12000
+	callerPatient = 2 * time.Second
+)
+
+// Ending is how one call ended.
+type Ending int
+
+// The endings of a call.
+const (
+	// Whole means that the call's own whole answer came.
+	Whole Ending = iota
+	// Refused means that the call did not run.
+	Refused
+	// Unknown means that the call may have run.
+	Unknown
+	// Broken means that no answer came, or that of another call.
+	Broken
+	endingCount
+)
+
+// Result is one call with its ending. The latency counts from the intended
+// time of the call.
+type Result struct {
+	Arrival Arrival
+	Ending  Ending
+	Latency time.Duration
+	// Promised states that a refusal says when to come back.
+	Promised bool
+}
+
+// Outcome is what a caller saw in one run.
+type Outcome struct {
+	Classes []Class
+	Results []Result
+	// Wrong counts answers whose identifier or content is not the call's.
+	Wrong int
+	// Upstreams is what the upstreams did during the run.
+	Upstreams groupCounts
+}
+
+// caller sends calls at their intended times whatever becomes of earlier ones.
+type caller struct {
+	client  *http.Client
+	load    Load
+	entries []string
+	limit   time.Duration
+	start   time.Time
+	mu      sync.Mutex
+	outcome Outcome
+	flying  chan struct{}
+}
+
+func newCaller(load Load, entries []string, limit time.Duration) *caller {
+	transport := &http.Transport{MaxIdleConnsPerHost: idlePerHost, DisableCompression: true}
+	return &caller{
+		client:  &http.Client{Transport: transport},
+		load:    load,
+		entries: entries,
+		limit:   limit,
+		outcome: Outcome{Classes: load.Classes},
+		flying:  make(chan struct{}, maxInFlight),
+	}
+}
+
+// run sends the whole schedule and waits for the last ending.
+func (cl *caller) run(ctx context.Context) Outcome {
+	defer cl.client.CloseIdleConnections()
+	var calls sync.WaitGroup
+	cl.start = time.Now()
+	for number, arrival := range cl.load.Schedule(len(cl.entries)) {
+		if !sleep(ctx, time.Until(cl.start.Add(arrival.At))) {
+			break
+		}
+		select {
+		case cl.flying <- struct{}{}:
+		default:
+			cl.record(Result{Arrival: arrival, Ending: Broken, Latency: cl.limit}, false)
+			continue
+		}
+		calls.Go(func() {
+			cl.call(number, arrival)
+			<-cl.flying
+		})
+	}
+	calls.Wait()
+	return cl.outcome
+}
+
+func (cl *caller) call(number int, arrival Arrival) {
+	class := cl.load.Classes[arrival.Class]
+	ctx, cancel := context.WithTimeout(context.Background(), cl.limit+callerPatient)
+	defer cancel()
+	id := fmt.Sprintf("%d-%d", cl.load.Seed, number)
+	url := "http://" + cl.entries[arrival.Entry] + class.Path + "/" + id
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		cl.record(Result{Arrival: arrival, Ending: Broken}, false)
+		return
+	}
+	request.Header.Set(headerCall, id)
+	request.Header.Set(headerWork, strconv.FormatInt(class.Work.Microseconds(), 10))
+	request.Header.Set(headerSize, strconv.Itoa(arrival.Bytes))
+	if class.Once {
+		request.Method = http.MethodPost
+		request.Header.Set(headerKey, newKey())
+	}
+	result := Result{Arrival: arrival, Ending: Broken}
+	wrong := cl.send(request, id, &result)
+	result.Latency = time.Since(cl.start.Add(arrival.At))
+	cl.record(result, wrong)
+}
+
+func newKey() string {
+	key, err := uuid.NewV7()
+	if err != nil {
+		key = uuid.New()
+	}
+	return key.String()
+}
+
+// send judges the answer to a request and reports whether it is another
+// call's.
+func (cl *caller) send(request *http.Request, id string, result *Result) (wrong bool) {
+	response, err := cl.client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return false
+	}
+	if response.StatusCode == http.StatusOK {
+		if string(body) != answerBody(id, result.Arrival.Bytes) {
+			return true
+		}
+		result.Ending = Whole
+		return false
+	}
+	result.Promised = response.Header.Get("Retry-After") != ""
+	result.Ending = Unknown
+	if response.Header.Get(proxy.HeaderOutcome) == "not-run" {
+		result.Ending = Refused
+	}
+	return false
+}
+
+func (cl *caller) record(result Result, wrong bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.outcome.Results = append(cl.outcome.Results, result)
+	if wrong {
+		cl.outcome.Wrong++
+	}
+}
+
+// Select returns an outcome with only the results that match.
+func (oc Outcome) Select(match func(Result) bool) Outcome {
+	var chosen []Result
+	for _, result := range oc.Results {
+		if match(result) {
+			chosen = append(chosen, result)
+		}
+	}
+	oc.Results = chosen
+	return oc
+}
+
+// Class returns an outcome with only the calls of a class.
+func (oc Outcome) Class(name string) Outcome {
+	return oc.Select(func(result Result) bool { return oc.Classes[result.Arrival.Class].Name == name })
+}
+
+// Between returns an outcome with only the calls meant for a span of the run.
+func (oc Outcome) Between(from, to time.Duration) Outcome {
+	return oc.Select(func(result Result) bool { return result.Arrival.At >= from && result.Arrival.At < to })
+}
+
+// With returns an outcome with only the calls of an ending.
+func (oc Outcome) With(ending Ending) Outcome {
+	return oc.Select(func(result Result) bool { return result.Ending == ending })
+}
+
+// Share returns the share of the calls that have an ending.
+func (oc Outcome) Share(ending Ending) float64 {
+	return float64(len(oc.With(ending).Results)) / float64(len(oc.Results))
+}
+
+// Millis returns a percentile of the latencies in milliseconds.
+func (oc Outcome) Millis(percentile float64) float64 {
+	histogram := hdrhistogram.New(1, longestCall.Microseconds(), digits)
+	for _, result := range oc.Results {
+		_ = histogram.RecordValue(min(max(result.Latency.Microseconds(), 1), longestCall.Microseconds()))
+	}
+	return float64(histogram.ValueAtQuantile(percentile)) / 1000
+}
--- /dev/null
+++ b/bench/layout.go
@@ -0,0 +1,179 @@
+// Package bench runs fleets of real processes under open-loop load and
+// measures them: each experiment starts a layout, compares the product with its
+// baseline in interleaved runs and reports the spread over the runs.
+//
+// # Usage
+//
+//	lab := bench.NewLab(os.Stdout, bench.WithMode(bench.Quick))
+//	err := bench.Converge(ctx, lab, bench.Board())
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+const (
+	boardConnections       = 130
+	weerasingheConnections = 120
+	slotsPerUpstream       = 10
+	scaleServiceSize       = 6
+	scaleServices          = 140
+	callDeadline           = 500 * time.Millisecond
+	longDeadline           = 10 * time.Second
+)
+
+// Group is a service with the number of its upstreams.
+type Group struct {
+	Service   types.ServiceName
+	Upstreams int
+}
+
+// Place is an availability zone in its region.
+type Place struct {
+	Zone   types.Zone
+	Region types.Region
+}
+
+// Layout is a fleet: one node beside each upstream.
+type Layout struct {
+	Name        string
+	Places      []Place
+	Groups      []Group
+	Slots       int
+	Connections int
+	// Idle is the number of services without upstreams.
+	Idle int
+	// Latency is the one-way delay between availability zones. It is not
+	// applied on loopback.
+	Latency  time.Duration
+	Deadline time.Duration
+}
+
+// Board returns the layout of 4 availability zones and 17 upstreams.
+func Board() Layout {
+	return Layout{
+		Name:   "board",
+		Places: places("bengal-west", "kolkata", "howrah", "haldia", "siliguri"),
+		Groups: []Group{
+			{"job-status", 5}, {"intake", 4}, {"manuals", 4}, {"dispatch", 4},
+		},
+		Slots:       slotsPerUpstream,
+		Connections: boardConnections,
+		Latency:     time.Millisecond,
+		Deadline:    callDeadline,
+	}
+}
+
+// Weerasinghe returns the layout of 3 availability zones and 14 upstreams.
+func Weerasinghe() Layout {
+	return Layout{
+		Name:   "weerasinghe",
+		Places: places("lk-west", "pettah", "moratuwa", "kelaniya"),
+		Groups: []Group{
+			{"stock", 5}, {"orders", 3}, {"patterns", 3}, {"returns", 3},
+		},
+		Slots:       slotsPerUpstream,
+		Connections: weerasingheConnections,
+		Latency:     1500 * time.Microsecond,
+		Deadline:    callDeadline,
+	}
+}
+
+// Scale returns a layout of n nodes in 7 availability zones of 2 regions, with
+// a configuration of 140 services.
+func Scale(n int) Layout {
+	layout := Layout{
+		Name:        fmt.Sprintf("scale-%d", n),
+		Places:      append(places("east", "e1", "e2", "e3", "e4"), places("west", "w1", "w2", "w3")...),
+		Slots:       slotsPerUpstream,
+		Connections: boardConnections,
+		Deadline:    callDeadline,
+	}
+	for left := n; left > 0; left -= scaleServiceSize {
+		name := types.ServiceName(fmt.Sprintf("service-%d", len(layout.Groups)))
+		layout.Groups = append(layout.Groups, Group{name, min(left, scaleServiceSize)})
+	}
+	layout.Idle = max(0, scaleServices-len(layout.Groups))
+	return layout
+}
+
+func places(region types.Region, zones ...types.Zone) []Place {
+	list := make([]Place, 0, len(zones))
+	for _, zone := range zones {
+		list = append(list, Place{Zone: zone, Region: region})
+	}
+	return list
+}
+
+// WithDeadline returns a copy whose routes have another deadline.
+func (l Layout) WithDeadline(deadline time.Duration) Layout {
+	l.Deadline = deadline
+	return l
+}
+
+// Size returns the number of nodes.
+func (l Layout) Size() int {
+	size := 0
+	for _, group := range l.Groups {
+		size += group.Upstreams
+	}
+	return size
+}
+
+// Only returns a copy of the layout whose calls and nodes are those of the
+// first group.
+func (l Layout) Only() Layout {
+	l.Groups = l.Groups[:1]
+	return l
+}
+
+// The path below a service's prefix whose calls are shed first.
+const bulkPath = "/bulk"
+
+// Config returns the configuration of the layout. Each service has an
+// important route and one for bulk work.
+func (l Layout) Config() conf.Config {
+	var config conf.Config
+	names := make([]types.ServiceName, 0, len(l.Groups)+l.Idle)
+	for _, group := range l.Groups {
+		names = append(names, group.Service)
+	}
+	for number := range l.Idle {
+		names = append(names, types.ServiceName(fmt.Sprintf("idle-%d", number)))
+	}
+	for _, name := range names {
+		config.Services = append(config.Services, conf.Service{Name: name})
+		config.Routes = append(config.Routes, l.routes(name)...)
+	}
+	return config
+}
+
+func (l Layout) routes(service types.ServiceName) []conf.Route {
+	important := conf.Route{
+		Name:       types.RouteName(service),
+		Service:    service,
+		Match:      conf.Match{PathPrefix: "/" + string(service)},
+		Idempotent: true,
+		Importance: conf.Critical,
+		Deadline:   l.Deadline,
+		Hedge:      true,
+	}
+	bulk := important
+	bulk.Name += "-bulk"
+	bulk.Match.PathPrefix += bulkPath
+	bulk.Importance = conf.Low
+	bulk.Hedge = false
+	return []conf.Route{important, bulk}
+}
+
+// changed returns the configuration with another deadline of one bulk route,
+// so that each number makes a new version.
+func (l Layout) changed(number int) conf.Config {
+	route := l.routes(l.Groups[number%len(l.Groups)].Service)[1]
+	route.Deadline = l.Deadline + time.Duration(number+1)*time.Millisecond
+	return conf.Config{Routes: []conf.Route{route}}
+}
--- /dev/null
+++ b/bench/ports.go
@@ -0,0 +1,48 @@
+package bench
+
+import (
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	firstPort = 10000
+	lastPort  = 31999
+)
+
+// ports hands out loopback addresses below the range that the kernel gives to
+// outgoing connections.
+type ports struct{ next int }
+
+func newPorts() *ports {
+	const stride = 2003
+	return &ports{next: firstPort + os.Getpid()*stride%(lastPort-firstPort)}
+}
+
+func (pt *ports) take() (string, error) {
+	for range lastPort - firstPort {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(pt.next))
+		if pt.next++; pt.next > lastPort {
+			pt.next = firstPort
+		}
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, listener.Close()
+		}
+	}
+	return "", errors.New("no free port")
+}
+
+// takeAll fills each of the given addresses.
+func (pt *ports) takeAll(addresses ...*string) error {
+	for _, address := range addresses {
+		var err error
+		if *address, err = pt.take(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
