Turn to the next entry when no connection comes about

Cause: a caller of a node that restarts was counted as without an answer, although callers may connect to any node. Change: the open-loop caller tries up to three entries when the dial fails; a call that may have been sent is never sent again. Conclusion: the caller behaves as callers of the mesh do.

--- a/bench/caller.go
+++ b/bench/caller.go
@@ -4,15 +4,17 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
+	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/proxy"
 )
 
@@ -22,6 +24,7 @@
 	digits        = 3
 	maxInFlight   = 12000
 	callerPatient = 2 * time.Second
+	entryTries    = 3
 )
 
 // Ending is how one call ended.
@@ -48,6 +51,9 @@
 	Latency time.Duration
 	// Promised states that a refusal says when to come back.
 	Promised bool
+	// Tries counts the entries that the caller turned to; it goes on to the next
+	// one when no connection comes about.
+	Tries int
 }
 
 // Outcome is what a caller saw in one run.
@@ -109,29 +115,56 @@
 }
 
 func (cl *caller) call(number int, arrival Arrival) {
-	class := cl.load.Classes[arrival.Class]
 	ctx, cancel := context.WithTimeout(context.Background(), cl.limit+callerPatient)
 	defer cancel()
 	id := fmt.Sprintf("%d-%d", cl.load.Seed, number)
-	url := "http://" + cl.entries[arrival.Entry] + class.Path + "/" + id
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		cl.record(Result{Arrival: arrival, Ending: Broken}, false)
-		return
-	}
-	request.Header.Set(headerCall, id)
-	request.Header.Set(headerWork, strconv.FormatInt(class.Work.Microseconds(), 10))
-	request.Header.Set(headerSize, strconv.Itoa(arrival.Bytes))
-	if class.Once {
-		request.Method = http.MethodPost
-		request.Header.Set(headerKey, newKey())
-	}
 	result := Result{Arrival: arrival, Ending: Broken}
-	wrong := cl.send(request, id, &result)
+	wrong := false
+	header := cl.header(id, arrival)
+	for entry := arrival.Entry; ; entry++ {
+		result.Tries++
+		request, err := cl.request(ctx, entry, id, arrival)
+		if err != nil {
+			break
+		}
+		request.Header = header
+		wrong, err = cl.send(request, id, &result)
+		if !unsent(err) || result.Tries == entryTries {
+			break
+		}
+	}
 	result.Latency = time.Since(cl.start.Add(arrival.At))
 	cl.record(result, wrong)
 }
 
+// unsent reports whether an error means that no connection came about.
+func unsent(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
+
+func (cl *caller) request(ctx context.Context, entry int, id string, arrival Arrival) (*http.Request, error) {
+	class := cl.load.Classes[arrival.Class]
+	method := http.MethodGet
+	if class.Once {
+		method = http.MethodPost
+	}
+	url := "http://" + cl.entries[entry%len(cl.entries)] + class.Path + "/" + id
+	return http.NewRequestWithContext(ctx, method, url, nil)
+}
+
+func (cl *caller) header(id string, arrival Arrival) http.Header {
+	class := cl.load.Classes[arrival.Class]
+	header := http.Header{}
+	header.Set(headerCall, id)
+	header.Set(headerWork, strconv.FormatInt(class.Work.Microseconds(), 10))
+	header.Set(headerSize, strconv.Itoa(arrival.Bytes))
+	if class.Once {
+		header.Set(headerKey, newKey())
+	}
+	return header
+}
+
 func newKey() string {
 	key, err := uuid.NewV7()
 	if err != nil {
@@ -142,29 +175,29 @@
 
 // send judges the answer to a request and reports whether it is another
 // call's.
-func (cl *caller) send(request *http.Request, id string, result *Result) (wrong bool) {
+func (cl *caller) send(request *http.Request, id string, result *Result) (wrong bool, err error) {
 	response, err := cl.client.Do(request)
 	if err != nil {
-		return false
+		return false, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		return false
+		return false, err
 	}
 	if response.StatusCode == http.StatusOK {
 		if string(body) != answerBody(id, result.Arrival.Bytes) {
-			return true
+			return true, nil
 		}
 		result.Ending = Whole
-		return false
+		return false, nil
 	}
 	result.Promised = response.Header.Get("Retry-After") != ""
 	result.Ending = Unknown
-	if response.Header.Get(proxy.HeaderOutcome) == "not-run" {
+	if response.Header.Get(proxy.HeaderOutcome) == fault.NotRun.String() {
 		result.Ending = Refused
 	}
-	return false
+	return false, nil
 }
 
 func (cl *caller) record(result Result, wrong bool) {
--- a/bench/lab.go
+++ b/bench/lab.go
@@ -191,6 +191,7 @@
 	sh.add(variant, "wrong answers", "count", float64(outcome.Wrong))
 	sh.add(variant, "keys run twice", "count", float64(outcome.Upstreams.Duplicates))
 	sh.add(variant, "no answer", "count", float64(len(outcome.With(Broken).Results)))
+	sh.add(variant, "refused", "count", float64(len(outcome.With(Refused).Results)))
 	sh.add(variant, "outcome unknown", "count", float64(len(outcome.With(Unknown).Results)))
 }
 
