Delay calls and control messages between availability zones

Cause: the layouts state a latency between availability zones that loopback does not have. Change: a link process in front of each peer listener delays calls from other zones and all control messages; the time added is measured without it. Conclusion: both layouts run with their own latencies.

--- a/bench/added.go
+++ b/bench/added.go
@@ -37,6 +37,7 @@
 // the nodes and against direct calls.
 func Added(ctx context.Context, lab *Lab, layout Layout) error {
 	sh := newSheet("added", layout)
+	layout = layout.WithLatency(0)
 	few := layout.Only()
 	err := lab.compare(ctx, layout, []Variant{Product}, func(run int, ft *Fleet) error {
 		load := Load{
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -42,7 +42,9 @@
 	Peer     string
 	Admin    string
 	Upstream string
-	process  *Process
+	// Link is the address of the network in front of the peer listener.
+	Link    string
+	process *Process
 }
 
 // Fleet is a running layout.
@@ -52,6 +54,7 @@
 	Instances []*Instance
 	platform  *Process
 	group     *Process
+	links     *Process
 	address   string
 	control   string
 	version   uint64
@@ -88,6 +91,9 @@
 	if err := ft.startUpstreams(); err != nil {
 		return err
 	}
+	if err := ft.startLinks(); err != nil {
+		return err
+	}
 	for _, instance := range ft.Instances {
 		if err := ft.startNode(instance); err != nil {
 			return err
@@ -112,7 +118,11 @@
 				Service: string(group.Service),
 				Place:   ft.Layout.Places[number%len(ft.Layout.Places)],
 			}
-			err := ft.ports.takeAll(&instance.Caller, &instance.Peer, &instance.Admin, &instance.Upstream)
+			addresses := []*string{&instance.Caller, &instance.Peer, &instance.Admin, &instance.Upstream}
+			if ft.Layout.Latency > 0 {
+				addresses = append(addresses, &instance.Link)
+			}
+			err := ft.ports.takeAll(addresses...)
 			if err != nil {
 				return err
 			}
@@ -152,10 +162,11 @@
 		"--listen", instance.Caller,
 		"--peer-listen", instance.Peer,
 		"--admin-listen", instance.Admin,
+		"--advertise", instance.PeerAddress(),
 		"--stop-limit", "5s",
 	}
 	for range 2 {
-		args = append(args, "--peer", ft.Instances[ft.rand.IntN(len(ft.Instances))].Peer)
+		args = append(args, "--peer", ft.anyInstance().PeerAddress())
 	}
 	var err error
 	instance.process, err = startProcess("", append(args, ft.Variant.Flags...)...)
@@ -231,7 +242,7 @@
 
 // Stop ends all processes of the fleet, by their ids.
 func (ft *Fleet) Stop() {
-	processes := []*Process{ft.group, ft.platform}
+	processes := []*Process{ft.links, ft.group, ft.platform}
 	for _, instance := range ft.Instances {
 		processes = append(processes, instance.process)
 	}
--- a/bench/layout.go
+++ b/bench/layout.go
@@ -47,8 +47,7 @@
 	Connections int
 	// Idle is the number of services without upstreams.
 	Idle int
-	// Latency is the one-way delay between availability zones. It is not
-	// applied on loopback.
+	// Latency is the one-way delay between availability zones.
 	Latency  time.Duration
 	Deadline time.Duration
 }
@@ -115,6 +114,12 @@
 	return l
 }
 
+// WithLatency returns a copy with another delay between availability zones.
+func (l Layout) WithLatency(latency time.Duration) Layout {
+	l.Latency = latency
+	return l
+}
+
 // Size returns the number of nodes.
 func (l Layout) Size() int {
 	size := 0
--- /dev/null
+++ b/bench/link.go
@@ -0,0 +1,77 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"sequoiamill.example/sequoiamill/fakes"
+)
+
+// linkSpec describes the network in front of one node's peer listener.
+type linkSpec struct {
+	Listen      string   `json:"listen"`
+	Target      string   `json:"target"`
+	DelayMicros int64    `json:"delay-micros"`
+	Only        []string `json:"only"`
+}
+
+// controlText marks connections that carry control messages.
+const controlText = "/sequoiamill.peer."
+
+// serveLinks relays to the nodes that a description lists, for good.
+func serveLinks(input io.Reader) error {
+	var specs []linkSpec
+	if err := json.NewDecoder(input).Decode(&specs); err != nil {
+		return err
+	}
+	for _, spec := range specs {
+		link, err := fakes.NewLink(spec.Listen, spec.Target)
+		if err != nil {
+			return err
+		}
+		err = link.Set(fakes.LinkSettings{
+			Mode:  fakes.LinkDelay,
+			Delay: time.Duration(spec.DelayMicros) * time.Microsecond,
+			Only:  spec.Only,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	select {}
+}
+
+// startLinks puts a link with the layout's latency in front of every node.
+// Calls from the same availability zone and from the node itself are not
+// delayed; control messages always are.
+func (ft *Fleet) startLinks() error {
+	if ft.Layout.Latency == 0 {
+		return nil
+	}
+	specs := make([]linkSpec, 0, len(ft.Instances))
+	for _, instance := range ft.Instances {
+		spec := linkSpec{Listen: instance.Link, Target: instance.Peer, DelayMicros: ft.Layout.Latency.Microseconds(), Only: []string{controlText}}
+		for _, entry := range ft.Instances {
+			if entry.Place != instance.Place {
+				spec.Only = append(spec.Only, fmt.Sprintf("Sequoiamill-Entry: %s\r\n", entry.Name))
+			}
+		}
+		specs = append(specs, spec)
+	}
+	text, err := json.Marshal(specs)
+	if err != nil {
+		return err
+	}
+	ft.links, err = startProcess(string(text), verbLinks)
+	return err
+}
+
+// PeerAddress returns the address by which other nodes reach the instance.
+func (in *Instance) PeerAddress() string {
+	if in.Link != "" {
+		return in.Link
+	}
+	return in.Peer
+}
--- a/bench/serve.go
+++ b/bench/serve.go
@@ -16,6 +16,7 @@
 	verbNode      = "serve-node"
 	verbPlatform  = "serve-platform"
 	verbUpstreams = "serve-upstreams"
+	verbLinks     = "serve-links"
 )
 
 // Serve runs the part of a fleet that the arguments name and reports whether
@@ -32,6 +33,8 @@
 		err = servePlatform(os.Stdin)
 	case verbUpstreams:
 		err = serveUpstreams(os.Stdin)
+	case verbLinks:
+		err = serveLinks(os.Stdin)
 	default:
 		return 0, false
 	}
