--- a/bench/crest.go
+++ b/bench/crest.go
@@ -11,6 +11,7 @@
 	crestBase       = 0.6
 	crestDemand     = 3.0
 	importantWeight = 0.25
+	onceWeight      = 0.1
 	crestBegin      = time.Second
 	recoveryBin     = 200 * time.Millisecond
 	recoveredShare  = 0.99
@@ -23,16 +24,17 @@
 	return float64(l.Size()*l.Slots) / work.Seconds()
 }
 
-// mixed returns the important and the bulk classes of every service. The
-// important ones carry an idempotency key.
+// mixed returns the important and the bulk classes of every service. A part of
+// the important ones is not idempotent and carries an idempotency key.
 func (l Layout) mixed(work time.Duration) []Class {
 	var classes []Class
 	for _, class := range l.classes(work) {
 		path, weight := class.Path, class.Weight
-		class.Name, class.Weight, class.Once = important, weight*importantWeight, true
+		class.Name, class.Weight = important, weight*(importantWeight-onceWeight)
 		classes = append(classes, class)
-		class.Name, class.Weight, class.Once = bulk, weight*(1-importantWeight), false
-		class.Path = path + bulkPath
+		class.Path, class.Weight, class.Once = path+oncePath, weight*onceWeight, true
+		classes = append(classes, class)
+		class.Name, class.Path, class.Weight, class.Once = bulk, path+bulkPath, weight*(1-importantWeight), false
 		classes = append(classes, class)
 	}
 	return classes
--- a/bench/faults.go
+++ b/bench/faults.go
@@ -18,6 +18,7 @@
 
 // CrestLeaving measures the crest of a demand swing while an upstream leaves.
 func CrestLeaving(ctx context.Context, lab *Lab, layout Layout) error {
+	lab = lab.fewer()
 	layout = layout.WithDeadline(crestDeadline)
 	sh := newSheet("crest-leaving", layout)
 	err := lab.compare(ctx, layout, []Variant{Product, NoAdmission}, func(run int, ft *Fleet) error {
@@ -71,6 +72,7 @@
 
 // Herd measures the return of a fleet whose nodes all die at the crest.
 func Herd(ctx context.Context, lab *Lab, layout Layout) error {
+	lab = lab.fewer()
 	layout = layout.WithDeadline(crestDeadline)
 	sh := newSheet("herd", layout)
 	err := lab.compare(ctx, layout, []Variant{Product}, func(run int, ft *Fleet) error {
@@ -136,6 +138,7 @@
 
 // Outage measures a time without the platform while upstreams come and go.
 func Outage(ctx context.Context, lab *Lab, layout Layout) error {
+	lab = lab.fewer()
 	sh := newSheet("outage", layout)
 	err := lab.compare(ctx, layout, []Variant{Product}, func(run int, ft *Fleet) error {
 		return lab.outageRun(ctx, sh, run, ft)
@@ -233,6 +236,7 @@
 
 // Churn measures calls and convergence at one configuration change a second.
 func Churn(ctx context.Context, lab *Lab, layout Layout) error {
+	lab = lab.fewer()
 	sh := newSheet("churn", layout)
 	span := lab.span(3*time.Second, 30*time.Second)
 	err := lab.compare(ctx, layout, []Variant{Product, EveryWatches}, func(run int, ft *Fleet) error {
--- a/bench/lab.go
+++ b/bench/lab.go
@@ -19,7 +19,10 @@
 	Full
 )
 
-const defaultRuns = 5
+const (
+	defaultRuns  = 5
+	combinedRuns = 3
+)
 
 // Lab runs experiments and reports their figures.
 type Lab struct {
@@ -81,6 +84,15 @@
 	return []int{smoke, quick, full}[lb.mode]
 }
 
+// fewer returns a lab whose quick mode has fewer runs.
+func (lb *Lab) fewer() *Lab {
+	few := *lb
+	if lb.mode == Quick {
+		few.runs = min(lb.runs, combinedRuns)
+	}
+	return &few
+}
+
 func (lb *Lab) seedOf(run int) uint64 { return lb.seed + uint64(run) }
 
 func (lb *Lab) report(sh *sheet) error {
--- a/bench/layout.go
+++ b/bench/layout.go
@@ -136,11 +136,17 @@
 	return l
 }
 
-// The path below a service's prefix whose calls are shed first.
-const bulkPath = "/bulk"
+// The paths below a service's prefix.
+const (
+	// bulkPath is that of calls that are shed first.
+	bulkPath = "/bulk"
+	// oncePath is that of important calls that are not idempotent.
+	oncePath = "/once"
+)
 
 // Config returns the configuration of the layout. Each service has an
-// important route and one for bulk work.
+// important route, one for important work that is not idempotent and one for
+// bulk work.
 func (l Layout) Config() conf.Config {
 	var config conf.Config
 	names := make([]types.ServiceName, 0, len(l.Groups)+l.Idle)
@@ -172,7 +178,12 @@
 	bulk.Match.PathPrefix += bulkPath
 	bulk.Importance = conf.Low
 	bulk.Hedge = false
-	return []conf.Route{important, bulk}
+	once := important
+	once.Name += "-once"
+	once.Match.PathPrefix += oncePath
+	once.Idempotent = false
+	once.Hedge = false
+	return []conf.Route{important, bulk, once}
 }
 
 // changed returns the configuration with another deadline of one bulk route,
