Prove convergence, and tell a peer the latest changes that it missed

Change: An answer to a peer whose view differs adds the eight latest changes. A few tables that exchange messages which are lost, doubled and reordered prove that views converge, that incarnations and versions held never go back, that a live node is not dead for good and that two halves of a partition get one view.

Ruled out: Sending each piece of news more often, which costs its bytes on every change.

Conclusion: An upstream that leaves gets no new work after about a second.

--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,182 @@
+package fleet_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+// act does one thing to a mesh at random.
+func act(t *rapid.T, ms *mesh, version *types.Version) {
+	nd := ms.nodes[rapid.IntRange(0, len(ms.nodes)-1).Draw(t, "node")]
+	switch rapid.SampledFrom([]string{"kill", "start", "pause", "resume", "upstream", "version", "wait"}).Draw(t, "act") {
+	case "kill":
+		if len(ms.live()) > 1 {
+			nd.up = false
+		}
+	case "start":
+		if !nd.up {
+			ms.start(nd.number)
+		}
+	case "pause":
+		nd.paused = nd.up && len(ms.live()) > 1
+	case "resume":
+		if nd.paused {
+			nd.paused = false
+			nd.table.Rejoin(ms.now)
+		}
+	case "upstream":
+		if nd.up && !nd.paused {
+			leaving := rapid.Bool().Draw(t, "leaving")
+			nd.table.SetUpstream("status", types.Some(fleet.Upstream{Slots: 10, Leaving: leaving}))
+		}
+	case "version":
+		if nd.up && !nd.paused && nd.held >= nd.table.Self().Held {
+			*version++
+			ms.hold(nd, *version)
+		}
+	}
+	ms.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "ticks")) * tick)
+}
+
+func TestViewsConvergeAfterAnyFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := newMesh(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 7).Draw(t, "size"))
+		ms.lost = rapid.IntRange(0, 40).Draw(t, "lost")
+		ms.doubled = rapid.IntRange(0, 30).Draw(t, "doubled")
+		ms.late = rapid.IntRange(0, 30).Draw(t, "late")
+		version := types.Version(0)
+		for range rapid.IntRange(0, 20).Draw(t, "acts") {
+			act(t, ms, &version)
+			if wrong := ms.steady(); wrong != "" {
+				t.Fatal(wrong)
+			}
+		}
+		ms.lost, ms.late = 0, 0
+		for _, nd := range ms.nodes {
+			if nd.paused {
+				nd.paused = false
+				nd.table.Rejoin(ms.now)
+			}
+		}
+		ms.advance(time.Minute)
+		if wrong := ms.agreed(); wrong != "" {
+			t.Fatal(wrong)
+		}
+		if wrong := ms.steady(); wrong != "" {
+			t.Fatal(wrong)
+		}
+		for _, nd := range ms.live() {
+			if nd.held != version && ms.holds(version) {
+				t.Fatalf("n%d holds version %d of %d", nd.number, nd.held, version)
+			}
+		}
+	})
+}
+
+func (ms *mesh) holds(version types.Version) bool {
+	for _, nd := range ms.live() {
+		if nd.held == version {
+			return true
+		}
+	}
+	return false
+}
+
+func TestPartitionHealsToOneView(t *testing.T) {
+	for seed := range uint64(6) {
+		for _, length := range []time.Duration{8 * time.Second, 13 * time.Second, time.Hour} {
+			checkPartition(is.New(t), newMesh(seed, 6), length)
+		}
+	}
+}
+
+func checkPartition(is *is.I, ms *mesh, length time.Duration) {
+	is.Helper()
+	ms.advance(20 * time.Second)
+	is.Equal(ms.agreed(), "")
+	ms.cut = func(from, to int) bool { return from < 3 != (to < 3) }
+	ms.hold(ms.nodes[0], 4)
+	ms.hold(ms.nodes[5], 7)
+	ms.advance(length)
+	is.Equal(ms.nodes[1].held, types.Version(4))
+	if length == time.Hour {
+		is.Equal(ms.nodes[1].table.Live(), 2) // the other half is dead
+	}
+	ms.cut = func(int, int) bool { return false }
+	healed := len(ms.log)
+	ms.advance(30 * time.Second)
+	is.Equal(ms.agreed(), "")
+	for _, nd := range ms.nodes {
+		is.Equal(nd.held, types.Version(7))
+	}
+	is.Equal(ms.steady(), "")
+	for _, line := range ms.log[healed:] {
+		var by, of, status string
+		_, err := fmt.Sscanf(strings.Fields(line)[1]+" "+strings.Fields(line)[2]+" "+strings.Fields(line)[4], "n%1s: n%1s %s", &by, &of, &status)
+		is.NoErr(err)
+		is.True(status != "dead" || by < "3" != (of < "3")) // no half takes the other's word for its own members
+	}
+}
+
+// withdrawal returns how long it takes until no node of a mesh would send work
+// to an upstream that leaves, or that is removed without a word.
+func withdrawal(ms *mesh, withdraw func(nd *meshNode)) time.Duration {
+	for _, nd := range ms.nodes {
+		nd.table.SetUpstream("status", types.Some(fleet.Upstream{Slots: 10}))
+	}
+	ms.advance(20 * time.Second)
+	leaving, began := ms.nodes[0], ms.now
+	withdraw(leaving)
+	for ms.now.Sub(began) < time.Minute {
+		left := true
+		for _, nd := range ms.live() {
+			serving := nd.table.Serving("status")
+			left = left && !slices.ContainsFunc(serving, func(member fleet.Member) bool { return member.ID == meshID(0) })
+		}
+		if left {
+			break
+		}
+		ms.advance(tick)
+	}
+	return ms.now.Sub(began)
+}
+
+func TestWithdrawalsSpreadWithinSeconds(t *testing.T) {
+	leave := func(nd *meshNode) {
+		nd.table.SetUpstream("status", types.Some(fleet.Upstream{Slots: 10, Leaving: true}))
+	}
+	cases := []struct {
+		name     string
+		lost     int
+		withdraw func(*meshNode)
+		limit    time.Duration
+	}{
+		{"leaving", 0, leave, 1200 * time.Millisecond},
+		{"leaving, a third of the messages lost", 33, leave, 3 * time.Second},
+		{"node stops", 0, func(nd *meshNode) { nd.table.Leave() }, 1200 * time.Millisecond},
+		{"killed", 0, func(nd *meshNode) { nd.up = false }, 4 * time.Second},
+		{"killed, a third of the messages lost", 33, func(nd *meshNode) { nd.up = false }, 6 * time.Second},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			worst := time.Duration(0)
+			for seed := range uint64(15) {
+				ms := newMesh(seed, 16)
+				ms.lost = tt.lost
+				worst = max(worst, withdrawal(ms, tt.withdraw))
+			}
+			t.Logf("the slowest of 15 took %s", worst)
+			is.True(worst <= tt.limit)
+		})
+	}
+}
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -1,11 +1,16 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"sequoiamill.example/sequoiamill/types"
 )
 
+// maxRecent bounds the latest changes that a peer is told of if its view
+// differs.
+const maxRecent = 8
+
 // send returns the effect of an exchange with a known member.
 func (tb *Table) send(rc *record) types.Effect {
 	return tb.exchange(rc.member.ID, rc.member.Address, rc.belief())
@@ -59,10 +64,35 @@
 	case len(asked.Buckets) == bucketCount:
 		reply.Buckets = tb.sums[:]
 		reply.Members = append(reply.Members, tb.recordsOf(tb.differing(asked.Buckets), maxSyncRecords, now)...)
+	case asked.View != tb.View():
+		tb.addRecent(&reply, now)
 	}
 	return reply
 }
 
+// addRecent adds the latest changes, for a peer that missed them while they
+// were passed on.
+func (tb *Table) addRecent(reply *Message, now time.Time) {
+	sent := len(reply.Members)
+	for _, rc := range tb.recent {
+		known := slices.ContainsFunc(reply.Members[:sent], func(member Member) bool { return member.ID == rc.member.ID })
+		if !known {
+			reply.Members = append(reply.Members, rc.aged(now))
+		}
+	}
+}
+
+// changed notes a record as one of the latest changes.
+func (tb *Table) changed(rc *record) {
+	if at := slices.Index(tb.recent, rc); at >= 0 {
+		tb.recent = slices.Delete(tb.recent, at, at+1)
+	}
+	if len(tb.recent) == maxRecent {
+		tb.recent = slices.Delete(tb.recent, 0, 1)
+	}
+	tb.recent = append(tb.recent, rc)
+}
+
 // contested returns the record of a message's sender if it contradicts what
 // the sender says of itself.
 func (tb *Table) contested(asked Message) types.Option[Member] {
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -39,6 +39,8 @@
 	doubts   []*record
 	indirect []*record
 	queue    queue
+	// recent holds the records that changed last, the latest at the end.
+	recent   []*record
 	seeds    []types.Address
 	seedSet  map[types.Address]struct{}
 	former   map[types.InstanceID]Former
@@ -208,6 +210,7 @@
 	tb.changeService(old, member)
 	tb.delegateStale = true
 	tb.queue.put(rc, true)
+	tb.changed(rc)
 	if member.Status == Suspect {
 		tb.beginSuspicion(rc, old, now)
 	}
@@ -321,6 +324,7 @@
 		tb.bagOf(rc.member).remove(rc)
 	}
 	tb.queue.drop(rc)
+	tb.recent = slices.DeleteFunc(tb.recent, func(other *record) bool { return other == rc })
 	delete(tb.records, id)
 	part := tb.buckets[rc.bucket]
 	tb.buckets[rc.bucket] = slices.DeleteFunc(part, func(other *record) bool { return other == rc })
