--- a/core/join.go
+++ b/core/join.go
@@ -66,7 +66,7 @@
 
 // fleetEvents returns the events of the time line that effects of the fleet
 // stand for.
-func (st *State) fleetEvents(effects []types.Effect) []types.Effect {
+func (st *State) fleetEvents(effects []types.Effect, now time.Time) []types.Effect {
 	var events []types.Effect
 	for _, effect := range effects {
 		switch ef := effect.(type) {
@@ -76,10 +76,10 @@
 			detail := "an earlier process still runs at " + string(ef.Older.Address)
 			events = append(events, trace.Event{Kind: trace.InstanceDuplicated, Subject: ef.Older.ID, Detail: detail})
 		case fleet.Superseded:
-			if !st.stopping {
+			if !st.stop.asked {
 				detail := "a later process runs at " + string(ef.By.Address)
 				events = append(events, trace.Event{Kind: trace.InstanceDuplicated, Subject: ef.By.ID, Detail: detail})
-				events = append(events, st.stop()...)
+				events = append(events, st.stopAsked(now)...)
 			}
 		}
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -13,6 +13,7 @@
 
 	"sequoiamill.example/sequoiamill/core"
 	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/flow"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -33,10 +34,15 @@
 	Peers []types.Address
 	// MaxBody bounds the body of a call and of an answer in bytes.
 	MaxBody int64
+	// StopLinger is how long a stopping node goes on refusing work, so that
+	// no peer still sends to it when it is gone.
+	StopLinger time.Duration
 	// StopLimit bounds a graceful stop.
 	StopLimit time.Duration
-	Seed      uint64
-	Policies  core.Policies
+	// Keys bound the ages of idempotency keys.
+	Keys     flow.KeyLimits
+	Seed     uint64
+	Policies core.Policies
 }
 
 // Validate returns one error that names each fault of the settings.
@@ -60,8 +66,14 @@
 	if s.MaxBody <= 0 {
 		faults = append(faults, "max-body must be above 0")
 	}
-	if s.StopLimit <= 0 {
-		faults = append(faults, "stop-limit must be above 0")
+	if s.StopLinger < 0 || s.StopLimit <= s.StopLinger {
+		faults = append(faults, "stop-limit must be above stop-linger, and that not below 0")
+	}
+	if s.Keys.Margin < 0 {
+		faults = append(faults, "key-margin must not be below 0")
+	}
+	if s.Keys.Retention <= s.Keys.Margin {
+		faults = append(faults, "key-retention must be above key-margin")
 	}
 	if err := s.Policies.Validate(); err != nil {
 		faults = append(faults, fault.From(err).Message)
--- a/verbs/node.go
+++ b/verbs/node.go
@@ -10,29 +10,33 @@
 	"github.com/go-kit/log"
 
 	"sequoiamill.example/sequoiamill/core"
+	"sequoiamill.example/sequoiamill/flow"
 	"sequoiamill.example/sequoiamill/node"
 	"sequoiamill.example/sequoiamill/plat"
 	"sequoiamill.example/sequoiamill/types"
 )
 
 type nodeCmd struct {
-	Instance    string        `help:"Name of this instance." required:""`
-	Zone        string        `help:"Availability zone of this instance." required:""`
-	Region      string        `help:"Region of this instance." default:"default"`
-	Platform    string        `help:"Base URL of the platform's object API." required:""`
-	Namespace   string        `help:"Namespace of the objects." default:"default"`
-	Listen      string        `help:"Address for callers." default:"127.0.0.1:8080"`
-	PeerListen  string        `help:"Address for other nodes." default:"127.0.0.1:8081"`
-	AdminListen string        `help:"Address for operators, scrapes and announcements." default:"127.0.0.1:8082"`
-	Advertise   string        `help:"Peer address that other nodes are told; empty means that of the listener."`
-	Peer        []string      `help:"Peer address to join by when the platform is down; may be repeated."`
-	MaxBody     int64         `help:"Greatest size of a request or an answer in bytes." default:"8388608"`
-	StopLimit   time.Duration `help:"Longest time of a graceful stop." default:"30s"`
-	Seed        uint64        `help:"Seed of the random choices; 0 takes the process id." default:"0"`
-	Balance     string        `help:"How upstreams are chosen: peak-ewma, least-outstanding or round-robin." default:"peak-ewma"`
-	Queue       string        `help:"How work is admitted: shed, fifo or none." default:"shed"`
-	Spread      string        `help:"How configurations spread: delegates or watch." default:"delegates"`
-	Hedge       bool          `help:"Allow second attempts on routes that ask for them." default:"true" negatable:""`
+	Instance     string        `help:"Name of this instance." required:""`
+	Zone         string        `help:"Availability zone of this instance." required:""`
+	Region       string        `help:"Region of this instance." default:"default"`
+	Platform     string        `help:"Base URL of the platform's object API." required:""`
+	Namespace    string        `help:"Namespace of the objects." default:"default"`
+	Listen       string        `help:"Address for callers." default:"127.0.0.1:8080"`
+	PeerListen   string        `help:"Address for other nodes." default:"127.0.0.1:8081"`
+	AdminListen  string        `help:"Address for operators, scrapes and announcements." default:"127.0.0.1:8082"`
+	Advertise    string        `help:"Peer address that other nodes are told; empty means that of the listener."`
+	Peer         []string      `help:"Peer address to join by when the platform is down; may be repeated."`
+	MaxBody      int64         `help:"Greatest size of a request or an answer in bytes." default:"8388608"`
+	StopLinger   time.Duration `help:"Time in which a stopping node goes on refusing work." default:"3s"`
+	StopLimit    time.Duration `help:"Longest time of a graceful stop." default:"30s"`
+	KeyMargin    time.Duration `help:"Greatest clock difference between callers and nodes for idempotency keys." default:"2s"`
+	KeyRetention time.Duration `help:"Age above which an idempotency key is answered with outcome-unknown." default:"10m"`
+	Seed         uint64        `help:"Seed of the random choices; 0 takes the process id." default:"0"`
+	Balance      string        `help:"How upstreams are chosen: adaptive, peak-ewma, least-outstanding, join-idle or round-robin." default:"adaptive"`
+	Queue        string        `help:"How work is admitted: shed, fifo or none." default:"shed"`
+	Spread       string        `help:"How configurations spread: delegates or watch." default:"delegates"`
+	Hedge        bool          `help:"Allow second attempts on routes that ask for them." default:"true" negatable:""`
 }
 
 func (c *nodeCmd) settings() node.Settings {
@@ -49,7 +53,9 @@
 		AdminListen: types.Address(c.AdminListen),
 		Advertise:   types.Address(c.Advertise),
 		MaxBody:     c.MaxBody,
+		StopLinger:  c.StopLinger,
 		StopLimit:   c.StopLimit,
+		Keys:        flow.KeyLimits{Margin: c.KeyMargin, Retention: c.KeyRetention},
 		Seed:        seed,
 		Policies: core.Policies{
 			Balance: core.BalanceKind(c.Balance),
