Shed by importance and keep slots for short work

Cause: the gate queued in the order of arrival, refused without regard to importance, and long work could take all slots.

Change: durations are learned for each route. Routes eight times longer than the rest, and stragglers, may hold half of the slots while short work arrives. The queue runs the shortest expected work first, with ageing and some waiting for importance. Work that would wait past its deadline, or finds no room, is refused at once or takes the place of the least important queued work. Once works wait without a break for 100 ms, low and normal importance may use a quarter and half of the queue. Retry times come from the drain rate and the works already sent away, spread by the seeded source. The baselines without shedding and without admission are wired to their names. An aborted work holds its slot until the upstream's part is over.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -1,53 +1,111 @@
 package admit
 
 import (
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/stat"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
 )
 
+const defaultQueue = 20
+
+// mode tells which works a gate holds back.
+type mode int
+
 const (
-	defaultQueue    = 20
-	defaultDuration = 10 * time.Millisecond
-	durationWeight  = 0.1
-	minimumWait     = 50 * time.Millisecond
-	maximumWait     = 5 * time.Second
+	// shedding bounds the queue and refuses work that would end too late.
+	shedding mode = iota
+	// unbounded queues all work.
+	unbounded
+	// ungated dispatches all work at once.
+	ungated
 )
 
 // Gate admits work to one upstream.
 type Gate struct {
-	slots    int
-	queueMax int
-	running  map[types.WorkID]Work
-	queue    []Work
-	// usual is the moving average of how long work runs.
-	usual time.Duration
+	mode       mode
+	discipline Discipline
+	slots      int
+	queueMax   int
+	running    map[types.WorkID]*run
+	queue      []Waiting
+	source     *rand.Rand
+	durations  *stat.Durations
+	// mean is the moving average of how long work runs, without stragglers.
+	mean time.Duration
+	// contended is since when works that are not long have waited without a
+	// break.
+	contended time.Time
+	// shortSeen is when work that is not long arrived last.
+	shortSeen time.Time
+	// owed is the number of refused works that are to come back, and owedAt
+	// the instant to which it was brought up to date.
+	owed   float64
+	owedAt time.Time
+}
+
+// run is a work at the upstream.
+type run struct {
+	work     Work
+	began    time.Time
+	expected time.Duration
+	long     bool
+	aborted  bool
 }
 
 // Option changes a setting of a gate.
 type Option func(*Gate)
 
-// WithQueue sets the greatest number of waiting works.
+// WithQueue sets the greatest number of waiting works, for long work and for
+// all other work.
 func WithQueue(size int) Option {
 	return func(gt *Gate) { gt.queueMax = size }
 }
 
+// WithDiscipline sets the order of the queue.
+func WithDiscipline(discipline Discipline) Option {
+	return func(gt *Gate) { gt.discipline = discipline }
+}
+
+// WithSeed sets the seed of the random numbers that spread retries.
+func WithSeed(seed uint64) Option {
+	return func(gt *Gate) { gt.source = rand.New(rand.NewPCG(seed, ^seed)) }
+}
+
+// WithoutShedding queues all work in the order of arrival.
+func WithoutShedding() Option {
+	return func(gt *Gate) { gt.mode, gt.discipline = unbounded, FIFO() }
+}
+
+// WithoutAdmission sends all work to the upstream at once.
+func WithoutAdmission() Option {
+	return func(gt *Gate) { gt.mode = ungated }
+}
+
 // NewGate returns a gate without slots.
 func NewGate(opts ...Option) *Gate {
-	gt := &Gate{queueMax: defaultQueue, running: map[types.WorkID]Work{}, usual: defaultDuration}
+	gt := &Gate{
+		discipline: ShortestFirst(),
+		queueMax:   defaultQueue,
+		running:    map[types.WorkID]*run{},
+		source:     rand.New(rand.NewPCG(0, 0)),
+		durations:  stat.NewDurations(),
+		mean:       defaultDuration,
+	}
 	for _, opt := range opts {
 		opt(gt)
 	}
 	return gt
 }
 
-// SetSlots sets how many works may run at once and fills new slots.
-func (gt *Gate) SetSlots(slots int) []types.Effect {
+// SetSlots sets how many works may run at once and fills free slots. Running
+// works are not cut when there are fewer slots than before.
+func (gt *Gate) SetSlots(slots int, now time.Time) []types.Effect {
 	gt.slots = slots
-	return gt.drain()
+	return gt.drain(now)
 }
 
 // Running returns the number of works at the upstream.
@@ -58,90 +116,79 @@
 
 // Arrive runs, queues or refuses a work.
 func (gt *Gate) Arrive(work Work, now time.Time) []types.Effect {
-	if len(gt.running) < gt.slots && len(gt.queue) == 0 {
-		return gt.dispatch(work)
+	waiting := gt.expect(work, now)
+	if !waiting.Long {
+		gt.shortSeen = now
+	}
+	if gt.mode == ungated || gt.free() > 0 && gt.mayRun(waiting, now) {
+		return gt.dispatch(nil, waiting, now)
 	}
-	wait := gt.wait(len(gt.queue) + 1)
-	if len(gt.queue) >= gt.queueMax || now.Add(wait+gt.usual).After(work.Deadline) {
-		return gt.shed(work, wait)
+	if gt.mode == unbounded {
+		return gt.enqueue(nil, waiting, work.Deadline, now)
 	}
-	gt.queue = append(gt.queue, work)
-	return []types.Effect{
-		trace.Count{Counter: trace.WorkQueued},
-		types.SetTimer{Timer: types.Timer{Kind: types.QueueDeadline, Work: work.ID}, At: work.Deadline.Add(-gt.usual)},
+	effects, err := gt.makeRoom(waiting, now)
+	if err != nil {
+		return append(effects, trace.Count{Counter: trace.WorkShed}, Refuse{Work: work, Err: err})
 	}
+	return gt.enqueue(effects, waiting, work.Deadline.Add(-waiting.Expected), now)
 }
 
-// End frees the slot of a work and runs the next one.
-func (gt *Gate) End(id types.WorkID, elapsed time.Duration) []types.Effect {
-	if _, ok := gt.running[id]; !ok {
+// End frees the slot of a work and runs the next one. The work of an aborted
+// request holds its slot until here, since the upstream may still run it.
+func (gt *Gate) End(id types.WorkID, elapsed time.Duration, now time.Time) []types.Effect {
+	ended, ok := gt.running[id]
+	if !ok {
 		return nil
 	}
 	delete(gt.running, id)
-	gt.usual += time.Duration(durationWeight * float64(elapsed-gt.usual))
-	return gt.drain()
+	if !ended.aborted {
+		gt.learn(ended, elapsed, now)
+	}
+	return gt.drain(now)
 }
 
 // Withdraw removes a work that is no longer wanted.
-func (gt *Gate) Withdraw(id types.WorkID) []types.Effect {
-	if _, ok := gt.running[id]; ok {
+func (gt *Gate) Withdraw(id types.WorkID, now time.Time) []types.Effect {
+	if known, ok := gt.running[id]; ok {
+		if known.aborted {
+			return nil
+		}
+		known.aborted = true
 		return []types.Effect{Abort{ID: id}}
 	}
-	return gt.drop(id, fault.New(fault.Canceled, "the caller no longer waits").WithOutcome(fault.NotRun))
+	return gt.drop(id, fault.New(fault.Canceled, "the caller no longer waits").WithOutcome(fault.NotRun), now)
 }
 
 // Expire refuses a work that still waits when its time has run out.
-func (gt *Gate) Expire(id types.WorkID) []types.Effect {
-	err := fault.New(fault.Overloaded, "the deadline came while waiting for a slot").WithRetryAfter(gt.RetryAfter())
-	return gt.drop(id, err)
+func (gt *Gate) Expire(id types.WorkID, now time.Time) []types.Effect {
+	err := fault.New(fault.Overloaded, "the deadline came while waiting for a slot")
+	return gt.drop(id, err.WithRetryAfter(gt.RetryAfter(now)), now)
 }
 
 // Clear refuses all waiting works.
 func (gt *Gate) Clear(err *fault.Error) []types.Effect {
 	var effects []types.Effect
-	for _, work := range gt.queue {
-		effects = append(effects, Refuse{Work: work, Err: err})
+	for _, waiting := range gt.queue {
+		effects = append(effects, Refuse{Work: waiting.Work, Err: err})
 	}
 	gt.queue = nil
 	return effects
 }
 
-// RetryAfter returns the time until the present queue has drained.
-func (gt *Gate) RetryAfter() time.Duration {
-	return min(max(gt.wait(len(gt.queue)), minimumWait), maximumWait)
-}
-
-func (gt *Gate) wait(position int) time.Duration {
-	return gt.usual * time.Duration(position) / time.Duration(max(gt.slots, 1))
-}
-
-func (gt *Gate) shed(work Work, wait time.Duration) []types.Effect {
-	err := fault.New(fault.Overloaded, "the estimated wait is %s with %d works ahead", wait, len(gt.queue)).
-		WithRetryAfter(gt.RetryAfter())
-	return []types.Effect{trace.Count{Counter: trace.WorkShed}, Refuse{Work: work, Err: err}}
-}
-
-func (gt *Gate) dispatch(work Work) []types.Effect {
-	gt.running[work.ID] = work
-	return []types.Effect{trace.Count{Counter: trace.WorkDispatched}, Dispatch{Work: work}}
-}
-
-func (gt *Gate) drain() []types.Effect {
-	var effects []types.Effect
-	for len(gt.queue) > 0 && len(gt.running) < gt.slots {
-		next := gt.queue[0]
-		gt.queue = gt.queue[1:]
-		effects = append(effects, gt.dispatch(next)...)
+// Usual returns how long work on a route usually runs.
+func (gt *Gate) Usual(route types.RouteName) time.Duration {
+	if usual, ok := gt.durations.Usual(route); ok {
+		return usual
 	}
-	return effects
+	if usual, ok := gt.durations.Overall(); ok {
+		return usual
+	}
+	return defaultDuration
 }
 
-func (gt *Gate) drop(id types.WorkID, err *fault.Error) []types.Effect {
-	at := slices.IndexFunc(gt.queue, func(work Work) bool { return work.ID == id })
-	if at < 0 {
-		return nil
-	}
-	work := gt.queue[at]
-	gt.queue = slices.Delete(gt.queue, at, at+1)
-	return []types.Effect{Refuse{Work: work, Err: err}}
+func (gt *Gate) free() int { return gt.slots - len(gt.running) }
+
+func (gt *Gate) dispatch(effects []types.Effect, waiting Waiting, now time.Time) []types.Effect {
+	gt.running[waiting.Work.ID] = &run{work: waiting.Work, began: now, expected: waiting.Expected, long: waiting.Long}
+	return append(effects, trace.Count{Counter: trace.WorkDispatched}, Dispatch{Work: waiting.Work})
 }
--- a/admit/work.go
+++ b/admit/work.go
@@ -4,9 +4,9 @@
 // # Usage
 //
 //	gate := admit.NewGate(admit.WithQueue(20))
-//	gate.SetSlots(10)
+//	gate.SetSlots(10, now)
 //	effects := gate.Arrive(work, now)
-//	effects = gate.End(work.ID, now)
+//	effects = gate.End(work.ID, elapsed, now)
 package admit
 
 import (
--- a/core/owner.go
+++ b/core/owner.go
@@ -54,7 +54,7 @@
 	}
 	announcement := st.upstream.announcement
 	rule, _ := st.conf.Current().Rule(announcement.Service, st.fleet.Self().Zone)
-	effects := st.gate.SetSlots(capped(announcement.Slots, rule.Slots))
+	effects := st.gate.SetSlots(capped(announcement.Slots, rule.Slots), now)
 	next := types.Some(fleet.Upstream{
 		Slots:       announcement.Slots,
 		Connections: announcement.Connections,
--- a/core/policy.go
+++ b/core/policy.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"sequoiamill.example/sequoiamill/admit"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/route"
 )
@@ -90,3 +91,16 @@
 		return route.Adaptive()
 	}
 }
+
+// gateOptions returns the options of the gate, those given explicitly last.
+func (se settings) gateOptions() []admit.Option {
+	options := []admit.Option{admit.WithSeed(se.seed)}
+	switch se.policies.Queue {
+	case QueueFIFO:
+		options = append(options, admit.WithoutShedding())
+	case QueueNone:
+		options = append(options, admit.WithoutAdmission())
+	default:
+	}
+	return append(options, se.gate...)
+}
--- a/core/state.go
+++ b/core/state.go
@@ -62,7 +62,7 @@
 		fleet:    fleet.NewTable(self, rand.New(rand.NewPCG(se.seed, se.seed))),
 		conf:     conf.NewHolder(),
 		balance:  route.NewBalance(se.policies.balance(), route.WithSeed(se.seed)),
-		gate:     admit.NewGate(se.gate...),
+		gate:     admit.NewGate(se.gateOptions()...),
 		policies: se.policies,
 	}
 	st.calls = flow.NewTable(flow.Seams{Pick: st.pick, Began: st.balance.Began, Ended: st.balance.Ended})
@@ -115,9 +115,9 @@
 	case admit.Arrived:
 		return st.workArrived(ev.Work, now)
 	case admit.Ended:
-		return st.gate.End(ev.ID, ev.Elapsed)
+		return st.gate.End(ev.ID, ev.Elapsed, now)
 	case admit.Canceled:
-		return st.gate.Withdraw(ev.ID)
+		return st.gate.Withdraw(ev.ID, now)
 	default:
 		return nil
 	}
@@ -134,7 +134,7 @@
 	case types.CallDeadline:
 		return st.calls.Expire(timer.Call, now)
 	case types.QueueDeadline:
-		return st.gate.Expire(timer.Work)
+		return st.gate.Expire(timer.Work, now)
 	default:
 		return nil
 	}
--- a/stat/duration.go
+++ b/stat/duration.go
@@ -99,6 +99,6 @@
 	}
 	step := min(max(sample-es.log, -maxStep), maxStep)
 	es.log += weight * step
-	es.usual = time.Duration(math.Exp(es.log))
+	es.usual = time.Duration(math.Exp(es.log)).Round(time.Microsecond)
 	es.updated = now
 }
