--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"sequoiamill.example/sequoiamill/core"
+	"sequoiamill.example/sequoiamill/flow"
 	"sequoiamill.example/sequoiamill/node"
 	"sequoiamill.example/sequoiamill/plat"
 	"sequoiamill.example/sequoiamill/types"
@@ -62,6 +63,7 @@
 
 func (fl *fleet) start(ctx context.Context, store *plat.Store, at place, seed uint64) error {
 	nd, err := node.New(node.Settings{
+		Keys:        flow.DefaultKeyLimits(),
 		Instance:    at.name,
 		Zone:        at.zone,
 		Region:      "bengal-west",
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -6,13 +6,12 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/flow"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -54,20 +53,17 @@
 }
 
 func (fw *Forwarder) exchange(ctx context.Context, dog *watchdog, address types.Address, job Job) Reply {
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(address)+ForwardPath, nil)
+	var used usedConn
+	request, err := http.NewRequestWithContext(used.trace(ctx), http.MethodPost, "http://"+string(address)+ForwardPath, nil)
 	if err != nil {
 		return refusal(fault.Wrap(fault.Internal, err, "make the forwarded call"))
 	}
-	request.Body = onceBody{dog.reader(bytes.NewReader(job.Body))}
-	request.ContentLength = int64(len(job.Body))
-	request.GetBody = nil
+	setBodyOnce(request, dog.reader(bytes.NewReader(job.Body)), len(job.Body))
 	request.Header = stripHopHeaders(job.Header)
 	writeJobHeaders(request.Header, job, fw.now())
 	response, err := fw.client.Do(request)
-	if err != nil && !sent.Load() {
-		return refusal(fault.Wrap(fault.Unreachable, err, "connect to the owner"))
+	if err != nil && !used.sent() {
+		return Reply{Verdict: flow.Unsent, Err: fault.Wrap(fault.Unreachable, err, "connect to the owner")}
 	}
 	if err != nil {
 		return lost(fault.Wrap(fault.Unreachable, causeOf(ctx, err), "wait for the owner"))
@@ -76,6 +72,7 @@
 	response.Body = fedBody{Reader: dog.reader(response.Body), Closer: response.Body}
 	reply, err := readReply(response, job.Request, fw.maxBody)
 	if err != nil {
+		used.close()
 		return lost(fault.Wrap(fault.BrokenAnswer, causeOf(ctx, err), "read the owner's answer"))
 	}
 	return reply
