--- a/core/keys.go
+++ b/core/keys.go
@@ -143,7 +143,9 @@
 	if !limits.Knows(call.Minted, first.member.Started) {
 		return flow.Choice{}, fault.New(fault.OutcomeUnknown, "the owner %s of the key started too late to know it", first.member.ID)
 	}
-	return flow.Choice{Target: st.candidate(first.member), Last: len(left) == 1}, nil
+	target := st.candidate(first.member)
+	target.Route = call.Route.Name
+	return flow.Choice{Target: target, Last: len(left) == 1}, nil
 }
 
 // withKey returns a call with the canonical form and the age of its key.
@@ -164,12 +166,12 @@
 }
 
 // workCanceled withdraws a work unless its key must be remembered.
-func (st *State) workCanceled(id types.WorkID) []types.Effect {
+func (st *State) workCanceled(id types.WorkID, now time.Time) []types.Effect {
 	effects, withdraw := st.keys.ledger.Canceled(id)
 	if effects != nil || st.keys.ledger.Holds(id) && !withdraw {
 		return effects
 	}
-	return st.gate.Withdraw(id)
+	return st.gate.Withdraw(id, now)
 }
 
 // settleKeys tells the ledger what became of keyed works and lets it answer
--- a/core/state.go
+++ b/core/state.go
@@ -79,7 +79,7 @@
 		fleet:    fleet.NewTable(self, rand.New(rand.NewPCG(se.seed, se.seed))),
 		conf:     conf.NewHolder(),
 		balance:  route.NewBalance(se.policies.balance(), route.WithSeed(se.seed)),
-		gate:     admit.NewGate(se.gate...),
+		gate:     admit.NewGate(se.gateOptions()...),
 		keys:     newKeys(se.limits, se.ledger),
 		policies: se.policies,
 		stop:     stop{linger: se.linger},
@@ -143,9 +143,9 @@
 	case admit.Arrived:
 		return st.workArrived(ev.Work, now)
 	case admit.Ended:
-		return append(st.keys.ledger.Ended(ev, now), st.gate.End(ev.ID, ev.Elapsed)...)
+		return append(st.keys.ledger.Ended(ev, now), st.gate.End(ev.ID, ev.Elapsed, now)...)
 	case admit.Canceled:
-		return st.workCanceled(ev.ID)
+		return st.workCanceled(ev.ID, now)
 	default:
 		return nil
 	}
@@ -167,7 +167,7 @@
 	case types.CallHedge:
 		return st.calls.Hedge(timer.Call, now)
 	case types.QueueDeadline:
-		return st.gate.Expire(timer.Work)
+		return st.gate.Expire(timer.Work, now)
 	default:
 		return nil
 	}
