Extend falling lines level

Cause: a quantity that falls with the number of nodes by noise was extended to 910 nodes below any measurement. Change: its extension is the mean of the measured points.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -49,6 +49,8 @@
 	is.True(math.Abs(line.Slope-0.1) < 1e-9)
 	is.True(math.Abs(line.At(910)-93) < 1e-6)
 	is.Equal(Fit([]Point{{5, 2}, {5, 4}}), Line{Base: 3})
+	is.Equal(extend([]Point{{10, 4}, {20, 2}}, 910), 3.0)
+	is.Equal(extend([]Point{{10, 2}, {20, 4}}, 910), 182.0)
 }
 
 func TestFigure(t *testing.T) {
--- a/bench/lab.go
+++ b/bench/lab.go
@@ -96,9 +96,11 @@
 func (lb *Lab) seedOf(run int) uint64 { return lb.seed + uint64(run) }
 
 func (lb *Lab) report(sh *sheet) error {
-	sh.figures = append(sh.figures, Figure{
-		Experiment: sh.experiment, Layout: sh.layout, Variant: "machine", Name: "load average of a minute", Unit: "processes", Runs: lb.busy,
-	})
+	if len(lb.busy) > 0 {
+		sh.figures = append(sh.figures, Figure{
+			Experiment: sh.experiment, Layout: sh.layout, Variant: "machine", Name: "load average of a minute", Unit: "processes", Runs: lb.busy,
+		})
+	}
 	lb.busy = nil
 	title := sh.experiment + " on " + sh.layout
 	writeTable(lb.out, title, sh.figures)
--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -36,7 +36,7 @@
 		}
 	}
 	for _, figure := range order {
-		sh.addLine(figure, Fit(points[figure.Name]))
+		sh.addLine(figure, points[figure.Name])
 	}
 	sh.holdLine("bytes in and out, "+ordinaryDay, AtMost(bytesTarget))
 	sh.holdLine("processor, "+ordinaryDay, AtMost(cpuTarget))
@@ -47,10 +47,26 @@
 // extended names the variant whose value is extrapolated.
 var extended = fmt.Sprintf("extrapolated to %d nodes", letterNodes)
 
-func (sh *sheet) addLine(figure Figure, line Line) {
+// addLine adds a fitted line and its value at 910 nodes. A line that falls is
+// extended level from the mean of its points.
+func (sh *sheet) addLine(figure Figure, points []Point) {
+	line := Fit(points)
 	sh.add(Variant{Name: "at 0 nodes"}, figure.Name, figure.Unit, line.Base)
 	sh.add(Variant{Name: "slope"}, figure.Name, figure.Unit+" per 100 nodes", percent*line.Slope)
-	sh.add(Variant{Name: extended}, figure.Name, figure.Unit, line.At(letterNodes))
+	sh.add(Variant{Name: extended}, figure.Name, figure.Unit, extend(points, letterNodes))
+}
+
+// extend returns the value at a size beyond the points.
+func extend(points []Point, size float64) float64 {
+	line := Fit(points)
+	if line.Slope >= 0 {
+		return line.At(size)
+	}
+	sum := 0.0
+	for _, point := range points {
+		sum += point.Y
+	}
+	return sum / float64(len(points))
 }
 
 // holdLine sets the target of an extended quantity.
