--- a/core/state.go
+++ b/core/state.go
@@ -21,8 +21,12 @@
 	balance  *route.Balance
 	gate     *admit.Gate
 	calls    *flow.Table
+	keys     keys
 	upstream local
 	policies Policies
+	lastTick time.Time
+	// current is the version of the platform's root when it was last read.
+	current  types.Version
 	watching bool
 	stop     stop
 }
@@ -32,6 +36,8 @@
 	policies Policies
 	gate     []admit.Option
 	linger   time.Duration
+	limits   flow.KeyLimits
+	ledger   []flow.LedgerOption
 }
 
 // Option changes a setting of a state.
@@ -58,21 +64,28 @@
 	return func(se *settings) { se.linger = linger }
 }
 
+// WithKeys sets the limits of idempotency keys and options of the ledger.
+func WithKeys(limits flow.KeyLimits, opts ...flow.LedgerOption) Option {
+	return func(se *settings) { se.limits, se.ledger = limits, opts }
+}
+
 // New returns the state of a node that has just started.
 func New(self fleet.Member, opts ...Option) *State {
-	se := settings{policies: DefaultPolicies()}
+	se := settings{policies: DefaultPolicies(), limits: flow.DefaultKeyLimits()}
 	for _, opt := range opts {
 		opt(&se)
 	}
 	st := &State{
 		fleet:    fleet.NewTable(self, rand.New(rand.NewPCG(se.seed, se.seed))),
 		conf:     conf.NewHolder(),
-		balance:  route.NewBalance(se.policies.balance()),
+		balance:  route.NewBalance(se.policies.balance(), route.WithSeed(se.seed)),
 		gate:     admit.NewGate(se.gate...),
+		keys:     newKeys(se.limits, se.ledger),
 		policies: se.policies,
 		stop:     stop{linger: se.linger},
 	}
-	st.calls = flow.NewTable(flow.Seams{Pick: st.pick, Began: st.balance.Began, Ended: st.balance.Ended})
+	seams := flow.Seams{Pick: st.pick, Next: st.nextOwner, Began: st.balance.Began, Ended: st.balance.Ended}
+	st.calls = flow.NewTable(seams, flow.WithHedge(se.policies.Hedge))
 	return st
 }
 
@@ -87,12 +100,18 @@
 	return route.Load{Outstanding: st.gate.Running(), Queued: st.gate.Queued()}
 }
 
-// Ready reports whether the node may serve callers.
-func (st *State) Ready() bool { return st.conf.Ready() && !st.stop.asked }
+// Ready reports whether the node may serve callers. It is not ready before
+// it can know the keys that callers mint.
+func (st *State) Ready() bool {
+	return st.conf.Ready() && st.joined() && st.keys.settled && !st.stop.asked
+}
 
 // Step applies one event and returns its effects in order.
 func (st *State) Step(event types.Event, now time.Time) []types.Effect {
-	effects := st.apply(event, now)
+	effects := st.noticePause(now)
+	st.watchKeys(now)
+	effects = st.settleKeys(append(effects, st.apply(event, now)...))
+	st.trackKeys(event, now)
 	return append(effects, st.checkDrained(now)...)
 }
 
@@ -111,7 +130,9 @@
 	case fleet.SeedsFound:
 		st.fleet.AddSeeds(ev)
 		return nil
-	case fleet.ExchangeReceived, fleet.ExchangeAnswered, fleet.ExchangeFailed:
+	case RootRead:
+		return st.rootRead(ev)
+	case fleet.ExchangeReceived, fleet.ExchangeAnswered, fleet.ExchangeFailed, fleet.ProbeEnded, fleet.PullEnded:
 		return st.exchanged(event, now)
 	case flow.CallArrived:
 		return st.callArrived(ev, now)
@@ -122,17 +143,20 @@
 	case admit.Arrived:
 		return st.workArrived(ev.Work, now)
 	case admit.Ended:
-		return st.gate.End(ev.ID, ev.Elapsed)
+		return append(st.keys.ledger.Ended(ev, now), st.gate.End(ev.ID, ev.Elapsed)...)
 	case admit.Canceled:
-		return st.gate.Withdraw(ev.ID)
+		return st.workCanceled(ev.ID)
 	default:
 		return nil
 	}
 }
 
 func (st *State) tick(now time.Time) []types.Effect {
+	st.lastTick = now
 	effects := st.fleet.Tick(now)
+	effects = append(effects, st.fleetEvents(effects, now)...)
 	effects = append(effects, st.refreshUpstream(now)...)
+	effects = append(effects, st.keys.ledger.Sweep(now)...)
 	return append(effects, st.electDelegate()...)
 }
 
@@ -140,6 +164,8 @@
 	switch timer.Kind {
 	case types.CallDeadline:
 		return st.calls.Expire(timer.Call, now)
+	case types.CallHedge:
+		return st.calls.Hedge(timer.Call, now)
 	case types.QueueDeadline:
 		return st.gate.Expire(timer.Work)
 	default:
@@ -154,6 +180,7 @@
 		switch ef := effect.(type) {
 		case conf.Adopted:
 			st.routes = route.NewTable(ef.Snapshot)
+			st.calls.Keep(ef.Snapshot)
 			st.fleet.Hold(ef.Snapshot.Version(), ef.Snapshot.Digest())
 			events = append(events, trace.Event{Kind: trace.ConfigAdopted, Version: ef.Snapshot.Version()})
 			events = append(events, st.refreshUpstream(now)...)
@@ -173,27 +200,17 @@
 		effects = st.fleet.Answered(ev, now)
 	case fleet.ExchangeFailed:
 		effects = st.fleet.Failed(ev, now)
+	case fleet.ProbeEnded:
+		effects = st.fleet.Probed(ev, now)
+	case fleet.PullEnded:
+		effects = st.fleet.Pulled(ev, now)
 	}
 	st.conf.RaiseFloor(st.fleet.Self().Held)
-	return append(effects, memberEvents(effects)...)
-}
-
-func memberEvents(effects []types.Effect) []types.Effect {
-	var events []types.Effect
-	for _, effect := range effects {
-		if changed, ok := effect.(fleet.StatusChanged); ok {
-			detail := changed.Member.Status.String()
-			if changed.Member.Leaving && changed.Member.Status == fleet.Alive {
-				detail = "leaving"
-			}
-			events = append(events, trace.Event{Kind: trace.MemberChanged, Subject: changed.Member.ID, Detail: detail})
-		}
-	}
-	return events
+	return append(effects, st.fleetEvents(effects, now)...)
 }
 
 func (st *State) electDelegate() []types.Effect {
-	delegate := st.fleet.IsDelegate() || st.policies.Spread == SpreadWatch && !st.stop.asked
+	delegate := st.fleet.Joined() && st.fleet.IsDelegate() || st.policies.Spread == SpreadWatch && !st.stop.asked
 	if delegate == st.watching {
 		return nil
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -4,13 +4,13 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"sequoiamill.example/sequoiamill/admin"
 	"sequoiamill.example/sequoiamill/conf"
@@ -52,7 +52,14 @@
 	stopping atomic.Bool
 	life     context.Context
 	watch    watcher
-	pulling  sync.Mutex
+	// pulls holds a place for each pull being served.
+	pulls     chan struct{}
+	bodyReads *rate.Limiter
+	// recorded states that the directory record was written.
+	recorded bool
+	// superseded ends when a later process takes this one's place.
+	superseded context.Context
+	supersede  context.CancelFunc
 
 	callerListener net.Listener
 	peerListener   net.Listener
@@ -86,7 +93,11 @@
 		ring:     trace.NewRing(timelineSize),
 		meters:   newMeters(),
 		drained:  make(chan struct{}),
+		pulls:    make(chan struct{}, maxPulls),
+
+		bodyReads: rate.NewLimiter(bodyReads, bodyReads),
 	}
+	nd.superseded, nd.supersede = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(nd)
 	}
@@ -122,7 +133,13 @@
 		Region:      nd.settings.Region,
 		Started:     started.Truncate(time.Millisecond),
 	}
-	options := append([]core.Option{core.WithSeed(nd.settings.Seed), core.WithPolicies(nd.settings.Policies), core.WithLinger(nd.settings.StopLinger)}, nd.options...)
+	options := []core.Option{
+		core.WithSeed(nd.settings.Seed),
+		core.WithPolicies(nd.settings.Policies),
+		core.WithKeys(nd.settings.Keys),
+		core.WithLinger(nd.settings.StopLinger),
+	}
+	options = append(options, nd.options...)
 	nd.loop = &loop{state: core.New(self, options...), now: nd.now, run: nd.run}
 	nd.peers = peer.NewClient(nd.clock, nd.now, peer.WithMeter(nd.meters.control), peer.WithInstance(nd.settings.Instance))
 	nd.owner = proxy.NewOwner(nd.loop.post, nd.load, nd.now,
@@ -215,6 +232,7 @@
 func (nd *Node) awaitStop(asked, life context.Context) error {
 	select {
 	case <-asked.Done():
+	case <-nd.superseded.Done():
 	case <-life.Done():
 		return nil
 	}
