Store the bodies of a configuration in packs

Cause: each resource body was an object of its own, read one by one.

The root names the pack of each resource. A change writes one pack and the root; a node that holds the version before reads one pack. A publisher takes the bodies that its node holds instead of reading them.

Ruled out: one object for the whole configuration, since a change of one route would write and read all of it.

--- /dev/null
+++ b/admin/fetch.go
@@ -0,0 +1,60 @@
+package admin
+
+import (
+	"context"
+	"maps"
+
+	"sequoiamill.example/sequoiamill/codec"
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/plat"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+func packName(hash types.Hash) plat.Name {
+	return plat.Name{Kind: plat.BodyKind, Name: string(hash)}
+}
+
+// FetchBundle reads the packs of the bodies that a root names and held does
+// not hold.
+func FetchBundle(ctx context.Context, store *plat.Store, rootBody []byte, held conf.Bundle) (conf.Bundle, error) {
+	root, err := codec.ReadRoot(rootBody)
+	if err != nil {
+		return conf.Bundle{}, err
+	}
+	bundle := codec.FillBundle(conf.Bundle{RootBody: rootBody, Bodies: map[types.Hash][]byte{}}, held)
+	for _, entry := range root.Entries {
+		if _, ok := bundle.Bodies[entry.Hash]; ok {
+			continue
+		}
+		pack, err := fetchPack(ctx, store, entry.Pack)
+		if err != nil {
+			return conf.Bundle{}, err
+		}
+		if _, ok := pack.Bodies[entry.Hash]; !ok {
+			return conf.Bundle{}, fault.New(fault.ConfigRefused, "%s %q: body %s is missing in pack %s", entry.Key.Kind, entry.Key.Name, entry.Hash, entry.Pack)
+		}
+		maps.Copy(bundle.Bodies, pack.Bodies)
+	}
+	return pruned(bundle, root), nil
+}
+
+func fetchPack(ctx context.Context, store *plat.Store, hash types.Hash) (conf.Pack, error) {
+	object, err := store.Get(ctx, packName(hash))
+	if fault.Is(err, fault.NotFound) {
+		return conf.Pack{}, fault.New(fault.ConfigRefused, "pack %s is missing", hash)
+	}
+	if err != nil {
+		return conf.Pack{}, err
+	}
+	return codec.ReadPack(object.Body, hash)
+}
+
+// pruned drops the bodies that the root does not name.
+func pruned(bundle conf.Bundle, root conf.Root) conf.Bundle {
+	bodies := make(map[types.Hash][]byte, len(root.Entries))
+	for _, entry := range root.Entries {
+		bodies[entry.Hash] = bundle.Bodies[entry.Hash]
+	}
+	return conf.Bundle{RootBody: bundle.RootBody, Bodies: bodies}
+}
--- a/admin/publish.go
+++ b/admin/publish.go
@@ -44,10 +44,25 @@
 // Publisher makes new versions in the platform.
 type Publisher struct {
 	store *plat.Store
+	held  func() conf.Bundle
+}
+
+// Option changes a setting of a publisher.
+type Option func(*Publisher)
+
+// WithHeld sets where the publisher finds bodies that need not be read.
+func WithHeld(held func() conf.Bundle) Option {
+	return func(pb *Publisher) { pb.held = held }
 }
 
 // NewPublisher returns a publisher to a store.
-func NewPublisher(store *plat.Store) *Publisher { return &Publisher{store: store} }
+func NewPublisher(store *plat.Store, opts ...Option) *Publisher {
+	pb := &Publisher{store: store, held: func() conf.Bundle { return conf.Bundle{} }}
+	for _, opt := range opts {
+		opt(pb)
+	}
+	return pb
+}
 
 // Publish makes one new version of a change or none at all. A change that was
 // accepted before gives its first result.
@@ -65,11 +80,11 @@
 	if root.Version != change.Base {
 		return Accepted{}, conflict(change.Base, root.Version)
 	}
-	bundle, err := pb.prepare(ctx, root, change)
+	bundle, packs, err := pb.prepare(ctx, root, change)
 	if err != nil {
 		return Accepted{}, err
 	}
-	if err := pb.writeBodies(ctx, bundle, root); err != nil {
+	if err := pb.writePacks(ctx, packs); err != nil {
 		return Accepted{}, err
 	}
 	return pb.commit(ctx, object.WithBody(bundle.RootBody), change, root.Version+1)
@@ -84,7 +99,7 @@
 	if root.Version == 0 {
 		return conf.Snapshot{}, nil
 	}
-	bundle, err := FetchBundle(ctx, pb.store, object.Body, conf.Bundle{})
+	bundle, err := FetchBundle(ctx, pb.store, object.Body, pb.held())
 	if err != nil {
 		return conf.Snapshot{}, err
 	}
@@ -107,37 +122,33 @@
 	return object, root, err
 }
 
-func (pb *Publisher) prepare(ctx context.Context, root conf.Root, change Change) (conf.Bundle, error) {
+func (pb *Publisher) prepare(ctx context.Context, root conf.Root, change Change) (conf.Bundle, []conf.Pack, error) {
 	config := change.Config
 	if !change.Replace {
 		current, err := pb.Read(ctx)
 		if err != nil {
-			return conf.Bundle{}, err
+			return conf.Bundle{}, nil, err
 		}
 		config = current.Config().Merge(change.Config, change.Delete)
 	}
 	if err := conf.Validate(config); err != nil {
-		return conf.Bundle{}, err
+		return conf.Bundle{}, nil, err
 	}
-	next := root.Next(change.ID)
-	bundle, err := codec.Seal(next, config)
+	bundle, err := codec.Seal(root.Next(change.ID), config)
 	if err != nil {
-		return conf.Bundle{}, err
+		return conf.Bundle{}, nil, err
+	}
+	bundle, packs, err := codec.Pack(bundle, root)
+	if err != nil {
+		return conf.Bundle{}, nil, err
 	}
 	_, err = codec.Open(bundle)
-	return bundle, err
+	return bundle, packs, err
 }
 
-func (pb *Publisher) writeBodies(ctx context.Context, bundle conf.Bundle, root conf.Root) error {
-	stored := map[types.Hash]bool{}
-	for _, entry := range root.Entries {
-		stored[entry.Hash] = true
-	}
-	for hash, body := range bundle.Bodies {
-		if stored[hash] {
-			continue
-		}
-		object := plat.Object{Name: plat.Name{Kind: plat.BodyKind, Name: string(hash)}, Body: body}
+func (pb *Publisher) writePacks(ctx context.Context, packs []conf.Pack) error {
+	for _, pack := range packs {
+		object := plat.Object{Name: packName(pack.Hash), Body: pack.Text}
 		if _, err := pb.store.Put(ctx, object); err != nil && !fault.Is(err, fault.VersionConflict) {
 			return err
 		}
@@ -188,26 +199,3 @@
 		return true
 	}
 }
-
-// FetchBundle reads the bodies that a root names and held does not hold.
-func FetchBundle(ctx context.Context, store *plat.Store, rootBody []byte, held conf.Bundle) (conf.Bundle, error) {
-	root, err := codec.ReadRoot(rootBody)
-	if err != nil {
-		return conf.Bundle{}, err
-	}
-	bundle := codec.FillBundle(conf.Bundle{RootBody: rootBody, Bodies: map[types.Hash][]byte{}}, held)
-	for _, entry := range root.Entries {
-		if _, ok := bundle.Bodies[entry.Hash]; ok {
-			continue
-		}
-		object, err := store.Get(ctx, plat.Name{Kind: plat.BodyKind, Name: string(entry.Hash)})
-		if fault.Is(err, fault.NotFound) {
-			return conf.Bundle{}, fault.New(fault.ConfigRefused, "%s %q: body %s is missing", entry.Key.Kind, entry.Key.Name, entry.Hash)
-		}
-		if err != nil {
-			return conf.Bundle{}, err
-		}
-		bundle.Bodies[entry.Hash] = object.Body
-	}
-	return bundle, nil
-}
--- a/codec/bundle.go
+++ b/codec/bundle.go
@@ -19,6 +19,7 @@
 type rootWire struct {
 	Version uint64         `json:"version"`
 	Change  string         `json:"change-id"`
+	Packs   []string       `json:"packs"`
 	Entries []entryWire    `json:"entries"`
 	Recent  []acceptedWire `json:"recent"`
 }
@@ -27,6 +28,8 @@
 	Kind string `json:"kind"`
 	Name string `json:"name"`
 	Hash string `json:"hash"`
+	// Pack is the place in the list of packs.
+	Pack int `json:"pack"`
 }
 
 type acceptedWire struct {
@@ -84,8 +87,14 @@
 
 func writeRoot(root conf.Root) ([]byte, error) {
 	wire := rootWire{Version: uint64(root.Version), Change: string(root.Change)}
+	places := map[types.Hash]int{}
+	for _, pack := range root.Packs().Sorted() {
+		places[pack] = len(wire.Packs)
+		wire.Packs = append(wire.Packs, string(pack))
+	}
 	for _, entry := range root.Entries {
-		wire.Entries = append(wire.Entries, entryWire{Kind: entry.Key.Kind.String(), Name: entry.Key.Name, Hash: string(entry.Hash)})
+		item := entryWire{Kind: entry.Key.Kind.String(), Name: entry.Key.Name, Hash: string(entry.Hash), Pack: places[entry.Pack]}
+		wire.Entries = append(wire.Entries, item)
 	}
 	for _, accepted := range root.Recent {
 		wire.Recent = append(wire.Recent, acceptedWire{Change: string(accepted.Change), Version: uint64(accepted.Version)})
@@ -115,7 +124,11 @@
 		if !ok {
 			return conf.Root{}, fault.New(fault.ConfigRefused, "decode root: unknown resource kind %q", item.Kind)
 		}
-		root.Entries = append(root.Entries, conf.Entry{Key: conf.Key{Kind: kind, Name: item.Name}, Hash: types.Hash(item.Hash)})
+		if item.Pack < 0 || item.Pack >= len(wire.Packs) {
+			return conf.Root{}, fault.New(fault.ConfigRefused, "decode root: %s %q names the pack %d of %d", kind, item.Name, item.Pack, len(wire.Packs))
+		}
+		entry := conf.Entry{Key: conf.Key{Kind: kind, Name: item.Name}, Hash: types.Hash(item.Hash), Pack: types.Hash(wire.Packs[item.Pack])}
+		root.Entries = append(root.Entries, entry)
 	}
 	for _, item := range wire.Recent {
 		root.Recent = append(root.Recent, conf.Accepted{Change: types.ChangeID(item.Change), Version: types.Version(item.Version)})
--- a/conf/resource.go
+++ b/conf/resource.go
@@ -48,6 +48,8 @@
 type Entry struct {
 	Key  Key
 	Hash types.Hash
+	// Pack is the hash of the stored object that holds the body.
+	Pack types.Hash
 }
 
 // Accepted records the change that made a version.
@@ -81,3 +83,23 @@
 	Routes   []Route
 	Rules    []UpstreamRule
 }
+
+// PackOf returns the pack of each body that the root names.
+func (r Root) PackOf() map[types.Hash]types.Hash {
+	packs := make(map[types.Hash]types.Hash, len(r.Entries))
+	for _, entry := range r.Entries {
+		if entry.Pack != "" {
+			packs[entry.Hash] = entry.Pack
+		}
+	}
+	return packs
+}
+
+// Packs returns the packs that the root names.
+func (r Root) Packs() types.Set[types.Hash] {
+	names := make([]types.Hash, 0, len(r.Entries))
+	for _, entry := range r.Entries {
+		names = append(names, entry.Pack)
+	}
+	return types.NewSet(names...)
+}
--- a/conf/snapshot.go
+++ b/conf/snapshot.go
@@ -10,6 +10,14 @@
 	Bodies   map[types.Hash][]byte
 }
 
+// Pack is a stored object that holds many bodies. It is named by the hash of
+// its text.
+type Pack struct {
+	Hash   types.Hash
+	Text   []byte
+	Bodies map[types.Hash][]byte
+}
+
 // Snapshot is one accepted version of the configuration. It is immutable.
 type Snapshot struct {
 	root     Root
--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -18,9 +18,11 @@
 )
 
 const (
-	anyPort   = "127.0.0.1:0"
-	maxBody   = 1 << 20
-	stopLimit = 5 * time.Second
+	anyPort      = "127.0.0.1:0"
+	maxBody      = 1 << 20
+	stopLimit    = 5 * time.Second
+	keyMargin    = 100 * time.Millisecond
+	keyRetention = time.Minute
 )
 
 // fleet is a set of nodes in one process.
@@ -73,6 +75,7 @@
 		MaxBody:     maxBody,
 		StopLimit:   stopLimit,
 		Seed:        seed,
+		Keys:        flow.KeyLimits{Margin: keyMargin, Retention: keyRetention},
 		Policies:    core.DefaultPolicies(),
 	}, store)
 	if err != nil {
--- a/node/handler.go
+++ b/node/handler.go
@@ -37,7 +37,7 @@
 
 func (nd *Node) operatorHandler() (string, http.Handler) {
 	return admin.NewHandler(admin.Service{
-		Publisher: admin.NewPublisher(nd.store),
+		Publisher: admin.NewPublisher(nd.store, admin.WithHeld(nd.bundle)),
 		View:      nd.view,
 		Published: nd.published,
 		Timeline:  nd.ring.Select,
