--- a/core/state.go
+++ b/core/state.go
@@ -21,17 +21,23 @@
 	balance  *route.Balance
 	gate     *admit.Gate
 	calls    *flow.Table
+	keys     keys
 	upstream local
 	policies Policies
+	lastTick time.Time
+	// current is the version of the platform's root when it was last read.
+	current  types.Version
 	watching bool
-	stopping bool
-	drained  bool
+	stop     stop
 }
 
 type settings struct {
 	seed     uint64
 	policies Policies
 	gate     []admit.Option
+	linger   time.Duration
+	limits   flow.KeyLimits
+	ledger   []flow.LedgerOption
 }
 
 // Option changes a setting of a state.
@@ -52,20 +58,34 @@
 	return func(se *settings) { se.gate = opts }
 }
 
+// WithLinger sets how long a stopping node goes on refusing work after it has
+// announced that it leaves, so that the news is everywhere before it is gone.
+func WithLinger(linger time.Duration) Option {
+	return func(se *settings) { se.linger = linger }
+}
+
+// WithKeys sets the limits of idempotency keys and options of the ledger.
+func WithKeys(limits flow.KeyLimits, opts ...flow.LedgerOption) Option {
+	return func(se *settings) { se.limits, se.ledger = limits, opts }
+}
+
 // New returns the state of a node that has just started.
 func New(self fleet.Member, opts ...Option) *State {
-	se := settings{policies: DefaultPolicies()}
+	se := settings{policies: DefaultPolicies(), limits: flow.DefaultKeyLimits()}
 	for _, opt := range opts {
 		opt(&se)
 	}
 	st := &State{
 		fleet:    fleet.NewTable(self, rand.New(rand.NewPCG(se.seed, se.seed))),
 		conf:     conf.NewHolder(),
-		balance:  route.NewBalance(se.policies.balance()),
-		gate:     admit.NewGate(se.gate...),
+		balance:  route.NewBalance(se.policies.balance(), route.WithSeed(se.seed)),
+		gate:     admit.NewGate(se.gateOptions()...),
+		keys:     newKeys(se.limits, se.ledger),
 		policies: se.policies,
+		stop:     stop{linger: se.linger},
 	}
-	st.calls = flow.NewTable(flow.Seams{Pick: st.pick, Began: st.balance.Began, Ended: st.balance.Ended})
+	seams := flow.Seams{Pick: st.pick, Next: st.nextOwner, Began: st.balance.Began, Ended: st.balance.Ended}
+	st.calls = flow.NewTable(seams, flow.WithHedge(se.policies.Hedge))
 	return st
 }
 
@@ -80,13 +100,19 @@
 	return route.Load{Outstanding: st.gate.Running(), Queued: st.gate.Queued()}
 }
 
-// Ready reports whether the node may serve callers.
-func (st *State) Ready() bool { return st.conf.Ready() && !st.stopping }
+// Ready reports whether the node may serve callers. It is not ready before
+// it can know the keys that callers mint.
+func (st *State) Ready() bool {
+	return st.conf.Ready() && st.joined() && st.keys.settled && !st.stop.asked
+}
 
 // Step applies one event and returns its effects in order.
 func (st *State) Step(event types.Event, now time.Time) []types.Effect {
-	effects := st.apply(event, now)
-	return append(effects, st.checkDrained()...)
+	effects := st.noticePause(now)
+	st.watchKeys(now)
+	effects = st.settleKeys(append(effects, st.apply(event, now)...))
+	st.trackKeys(event, now)
+	return append(effects, st.checkDrained(now)...)
 }
 
 func (st *State) apply(event types.Event, now time.Time) []types.Effect {
@@ -96,7 +122,7 @@
 	case UpstreamAnnounced:
 		return st.announced(ev.Announcement, now)
 	case StopAsked:
-		return st.stop()
+		return st.stopAsked(now)
 	case conf.Offered:
 		return st.offered(ev, now)
 	case types.TimerFired:
@@ -104,7 +130,9 @@
 	case fleet.SeedsFound:
 		st.fleet.AddSeeds(ev)
 		return nil
-	case fleet.ExchangeReceived, fleet.ExchangeAnswered, fleet.ExchangeFailed:
+	case RootRead:
+		return st.rootRead(ev)
+	case fleet.ExchangeReceived, fleet.ExchangeAnswered, fleet.ExchangeFailed, fleet.ProbeEnded, fleet.PullEnded:
 		return st.exchanged(event, now)
 	case flow.CallArrived:
 		return st.callArrived(ev, now)
@@ -115,17 +143,20 @@
 	case admit.Arrived:
 		return st.workArrived(ev.Work, now)
 	case admit.Ended:
-		return st.gate.End(ev.ID, ev.Elapsed)
+		return append(st.keys.ledger.Ended(ev, now), st.gate.End(ev.ID, ev.Elapsed, now)...)
 	case admit.Canceled:
-		return st.gate.Withdraw(ev.ID)
+		return st.workCanceled(ev.ID, now)
 	default:
 		return nil
 	}
 }
 
 func (st *State) tick(now time.Time) []types.Effect {
+	st.lastTick = now
 	effects := st.fleet.Tick(now)
+	effects = append(effects, st.fleetEvents(effects, now)...)
 	effects = append(effects, st.refreshUpstream(now)...)
+	effects = append(effects, st.keys.ledger.Sweep(now)...)
 	return append(effects, st.electDelegate()...)
 }
 
@@ -133,8 +164,10 @@
 	switch timer.Kind {
 	case types.CallDeadline:
 		return st.calls.Expire(timer.Call, now)
+	case types.CallHedge:
+		return st.calls.Hedge(timer.Call, now)
 	case types.QueueDeadline:
-		return st.gate.Expire(timer.Work)
+		return st.gate.Expire(timer.Work, now)
 	default:
 		return nil
 	}
@@ -147,6 +180,7 @@
 		switch ef := effect.(type) {
 		case conf.Adopted:
 			st.routes = route.NewTable(ef.Snapshot)
+			st.calls.Keep(ef.Snapshot)
 			st.fleet.Hold(ef.Snapshot.Version(), ef.Snapshot.Digest())
 			events = append(events, trace.Event{Kind: trace.ConfigAdopted, Version: ef.Snapshot.Version()})
 			events = append(events, st.refreshUpstream(now)...)
@@ -166,27 +200,17 @@
 		effects = st.fleet.Answered(ev, now)
 	case fleet.ExchangeFailed:
 		effects = st.fleet.Failed(ev, now)
+	case fleet.ProbeEnded:
+		effects = st.fleet.Probed(ev, now)
+	case fleet.PullEnded:
+		effects = st.fleet.Pulled(ev, now)
 	}
 	st.conf.RaiseFloor(st.fleet.Self().Held)
-	return append(effects, memberEvents(effects)...)
-}
-
-func memberEvents(effects []types.Effect) []types.Effect {
-	var events []types.Effect
-	for _, effect := range effects {
-		if changed, ok := effect.(fleet.StatusChanged); ok {
-			detail := changed.Member.Status.String()
-			if changed.Member.Leaving && changed.Member.Status == fleet.Alive {
-				detail = "leaving"
-			}
-			events = append(events, trace.Event{Kind: trace.MemberChanged, Subject: changed.Member.ID, Detail: detail})
-		}
-	}
-	return events
+	return append(effects, st.fleetEvents(effects, now)...)
 }
 
 func (st *State) electDelegate() []types.Effect {
-	delegate := st.fleet.IsDelegate() || st.policies.Spread == SpreadWatch && !st.stopping
+	delegate := st.fleet.Joined() && st.fleet.IsDelegate() || st.policies.Spread == SpreadWatch && !st.stop.asked
 	if delegate == st.watching {
 		return nil
 	}
@@ -200,22 +224,3 @@
 		trace.Event{Kind: trace.DelegateChanged, Subject: st.fleet.Self().ID, Detail: detail},
 	}
 }
-
-func (st *State) stop() []types.Effect {
-	if st.stopping {
-		return nil
-	}
-	st.stopping = true
-	st.fleet.Leave()
-	effects := []types.Effect{trace.Event{Kind: trace.NodeStopping, Subject: st.fleet.Self().ID}}
-	return append(effects, st.electDelegate()...)
-}
-
-func (st *State) checkDrained() []types.Effect {
-	if !st.stopping || st.drained || st.calls.Len() > 0 || st.gate.Running() > 0 || st.gate.Queued() > 0 {
-		return nil
-	}
-	st.drained = true
-	st.fleet.Depart()
-	return append(st.fleet.Push(), Drained{})
-}
--- a/node/handler.go
+++ b/node/handler.go
@@ -27,8 +27,9 @@
 		Clock:    nd.clock,
 		Now:      nd.now,
 		Exchange: nd.serveExchange,
-		Pull:     nd.bundle,
+		Pull:     nd.servePull,
 		Probe:    nd.probe,
+		Meter:    nd.meters.control,
 	}))
 	mux.Handle(nd.operatorHandler())
 	return mux
@@ -36,7 +37,7 @@
 
 func (nd *Node) operatorHandler() (string, http.Handler) {
 	return admin.NewHandler(admin.Service{
-		Publisher: admin.NewPublisher(nd.store),
+		Publisher: admin.NewPublisher(nd.store, admin.WithHeld(nd.bundle)),
 		View:      nd.view,
 		Published: nd.published,
 		Timeline:  nd.ring.Select,
@@ -112,17 +113,22 @@
 	if err := wire.validate(); err != nil {
 		return answerFault(ctx, fault.From(err))
 	}
-	nd.owner.SetUpstream(types.Address(wire.Address), wire.Connections)
-	nd.loop.post(core.UpstreamAnnounced{Announcement: core.Announcement{
+	nd.Announce(types.Address(wire.Address), core.Announcement{
 		Service:     types.ServiceName(wire.Service),
 		Slots:       wire.Slots,
 		Connections: wire.Connections,
 		WarmUp:      time.Duration(wire.WarmUpMillis) * time.Millisecond,
 		Leaving:     wire.Leaving,
-	}})
+	})
 	return ctx.NoContent(http.StatusNoContent)
 }
 
+// Announce tells the node about its local upstream.
+func (nd *Node) Announce(address types.Address, announcement core.Announcement) {
+	nd.owner.SetUpstream(address, announcement.Connections)
+	nd.loop.post(core.UpstreamAnnounced{Announcement: announcement})
+}
+
 func (w AnnouncementWire) validate() error {
 	if w.Service == "" {
 		return fault.New(fault.InvalidInput, "announcement: the service is missing")
--- a/node/meters.go
+++ b/node/meters.go
@@ -1,13 +1,21 @@
 package node
 
 import (
+	"context"
 	"io"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"sequoiamill.example/sequoiamill/plat"
+	"sequoiamill.example/sequoiamill/proxy"
 	"sequoiamill.example/sequoiamill/trace"
 )
 
+const summaryWindow = time.Minute
+
+var summaryQuantiles = []float64{0.5, 0.9, 0.99, 1}
+
 // meters are the counters of one node.
 type meters struct {
 	set      *metrics.Set
@@ -24,6 +32,59 @@
 
 func (mt *meters) count(counter trace.Counter) { mt.counters[counter].Inc() }
 
+// control counts the bytes of control messages.
+func (mt *meters) control(in, out int) {
+	mt.counters[trace.ControlBytesIn].Add(in)
+	mt.counters[trace.ControlBytesOut].Add(out)
+}
+
+// store counts the calls to the platform. A watch reads the object first.
+func (mt *meters) store(st *plat.Store) *plat.Store {
+	return &plat.Store{
+		Get: func(ctx context.Context, name plat.Name) (plat.Object, error) {
+			mt.count(trace.PlatformReads)
+			return st.Get(ctx, name)
+		},
+		List: func(ctx context.Context, kind plat.Kind) ([]plat.Object, error) {
+			mt.count(trace.PlatformReads)
+			return st.List(ctx, kind)
+		},
+		Put: func(ctx context.Context, object plat.Object) (plat.Object, error) {
+			mt.count(trace.PlatformWrites)
+			return st.Put(ctx, object)
+		},
+		Delete: func(ctx context.Context, object plat.Object) error {
+			mt.count(trace.PlatformWrites)
+			return st.Delete(ctx, object)
+		},
+		Watch: func(ctx context.Context, name plat.Name, seen func(plat.Object)) error {
+			mt.count(trace.PlatformReads)
+			mt.count(trace.PlatformWatches)
+			return st.Watch(ctx, name, seen)
+		},
+	}
+}
+
+// residence returns the meters of the data path.
+func (mt *meters) residence() proxy.Meters {
+	return proxy.Meters{
+		EntryResidence: mt.timer("entry_residence"),
+		OwnerResidence: mt.timer("owner_residence"),
+		Hop:            mt.timer("hop"),
+	}
+}
+
+// timer returns a meter that keeps a histogram and a summary of the last
+// minute.
+func (mt *meters) timer(name string) func(time.Duration) {
+	histogram := mt.set.NewHistogram("sequoiamill_" + name + "_seconds")
+	summary := mt.set.NewSummaryExt("sequoiamill_"+name+"_summary_seconds", summaryWindow, summaryQuantiles)
+	return func(elapsed time.Duration) {
+		histogram.Update(elapsed.Seconds())
+		summary.Update(elapsed.Seconds())
+	}
+}
+
 func (mt *meters) write(writer io.Writer) {
 	mt.set.WritePrometheus(writer)
 	metrics.WriteProcessMetrics(writer)
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,8 @@
 	"sequoiamill.example/sequoiamill/types"
 )
 
+const headerForwardedFor = "X-Forwarded-For"
+
 // Entry takes the requests of callers.
 type Entry struct {
 	self    types.InstanceID
@@ -34,17 +38,21 @@
 type openCall struct {
 	job      Job
 	done     chan result
+	first    time.Time
 	attempts map[int]*openAttempt
 }
 
 type openAttempt struct {
 	cancel context.CancelFunc
 	answer Answer
+	ended  time.Time
 }
 
 type result struct {
 	answer Answer
 	err    *fault.Error
+	// away is the time from the first attempt to the end of the delivered one.
+	away time.Duration
 }
 
 // NewEntry returns an entry that sends work to its own upstream through owner
@@ -58,6 +66,7 @@
 
 // ServeHTTP answers one request of a caller.
 func (en *Entry) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	start := en.now()
 	job, limit, err := en.readCall(request)
 	if err != nil {
 		writeFault(writer, job.Request, err)
@@ -71,7 +80,10 @@
 	en.post(flow.CallArrived{Call: id, Request: job.Request, Key: job.Key, Target: target, Limit: limit})
 	select {
 	case end := <-open.done:
-		en.write(writer, job.Request, end)
+		en.write(writer, job, end)
+		if end.err == nil {
+			en.owner.meters.EntryResidence(en.now().Sub(start) - end.away)
+		}
 	case <-request.Context().Done():
 		en.post(flow.CallCanceled{Call: id})
 	}
@@ -83,20 +95,44 @@
 	if err != nil {
 		return job, limit, err
 	}
+	if err := refuseTunnel(request); err != nil {
+		return job, limit, err
+	}
 	job.Key = keyOf(request.Header)
-	job.Header = stripOwnHeaders(request.Header)
+	job.Header = callerHeaders(request)
 	body, readErr := readBody(request.Body, en.maxBody)
 	if readErr != nil {
-		known := fault.From(readErr)
-		if known.Kind == fault.Internal {
-			known = fault.Wrap(fault.InvalidInput, readErr, "read the request")
-		}
-		return job, limit, known
+		return job, limit, bodyFault(readErr)
 	}
 	job.Body = body
 	return job, limit, nil
 }
 
+// refuseTunnel returns an error for requests that ask for another protocol.
+func refuseTunnel(request *http.Request) *fault.Error {
+	upgrade := request.Header.Get("Upgrade")
+	if request.Method == http.MethodConnect {
+		return fault.New(fault.InvalidInput, "the method CONNECT is not supported")
+	}
+	if upgrade != "" && upgrade != "h2c" {
+		return fault.New(fault.InvalidInput, "the upgrade to %q is not supported", upgrade)
+	}
+	return nil
+}
+
+// callerHeaders returns the headers that go on to the upstream.
+func callerHeaders(request *http.Request) http.Header {
+	header := stripOwnHeaders(request.Header)
+	if host, _, err := net.SplitHostPort(request.RemoteAddr); err == nil {
+		chain := append(header.Values(headerForwardedFor), host)
+		header.Set(headerForwardedFor, strings.Join(chain, ", "))
+	}
+	if header.Get("User-Agent") == "" {
+		header["User-Agent"] = []string{""}
+	}
+	return header
+}
+
 func newRequestID() types.RequestID {
 	id, err := uuid.NewV7()
 	if err != nil {
@@ -149,8 +185,13 @@
 	job := open.job
 	job.Route = effect.Route
 	job.Deadline = effect.Deadline
+	job.Key = effect.Key
+	job.Last = effect.Last
 	ctx, cancel := context.WithDeadline(context.Background(), effect.Deadline)
 	en.mu.Lock()
+	if len(open.attempts) == 0 {
+		open.first = en.now()
+	}
 	open.attempts[effect.Attempt] = &openAttempt{cancel: cancel}
 	en.mu.Unlock()
 	go en.attempt(ctx, open, effect, job)
@@ -160,22 +201,28 @@
 	start := en.now()
 	var reply Reply
 	if effect.Target.Local {
-		reply = en.owner.Do(ctx, job)
+		reply = en.owner.doLocal(ctx, job)
 	} else {
 		reply = en.forward.Do(ctx, effect.Target.Address, job)
 	}
+	ended := en.now()
+	if !effect.Target.Local && reply.Verdict == flow.Answered {
+		en.owner.meters.Hop(ended.Sub(start) - reply.AtOwner)
+	}
 	en.mu.Lock()
 	attempt := open.attempts[effect.Attempt]
 	attempt.answer = reply.Answer
+	attempt.ended = ended
 	attempt.cancel()
 	en.mu.Unlock()
 	en.post(flow.AttemptEnded{
-		Call:    effect.Call,
-		Attempt: effect.Attempt,
-		Verdict: reply.Verdict,
-		Err:     reply.Err,
-		Load:    reply.Load,
-		Elapsed: en.now().Sub(start),
+		Call:     effect.Call,
+		Attempt:  effect.Attempt,
+		Verdict:  reply.Verdict,
+		Err:      reply.Err,
+		Load:     reply.Load,
+		PassedOn: reply.PassedOn,
+		Elapsed:  ended.Sub(start),
 	})
 }
 
@@ -197,9 +244,10 @@
 		return
 	}
 	en.mu.Lock()
-	answer := open.attempts[effect.Attempt].answer
+	attempt := open.attempts[effect.Attempt]
+	end := result{answer: attempt.answer, away: attempt.ended.Sub(open.first)}
 	en.mu.Unlock()
-	open.done <- result{answer: answer}
+	open.done <- end
 }
 
 func (en *Entry) put(id types.CallID, open *openCall) {
@@ -221,20 +269,28 @@
 	delete(en.calls, id)
 }
 
-func (en *Entry) write(writer http.ResponseWriter, request types.RequestID, end result) {
+func (en *Entry) write(writer http.ResponseWriter, job Job, end result) {
 	if end.err != nil {
-		writeFault(writer, request, end.err)
+		writeFault(writer, job.Request, end.err)
 		return
 	}
+	answer := end.answer
 	header := writer.Header()
-	for name, values := range end.answer.Header {
+	for name, values := range answer.Header {
 		header[name] = values
 	}
-	header.Set(HeaderRequestID, string(request))
+	header.Set(HeaderRequestID, string(job.Request))
 	header.Set(HeaderOutcome, fault.Ran.String())
-	header.Set("Content-Length", strconv.Itoa(len(end.answer.Body)))
-	writer.WriteHeader(end.answer.Status)
-	_, _ = writer.Write(end.answer.Body)
+	if hasBody(job.Method, answer.Status) {
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	if length, ok := answer.Length.Get(); ok {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	writer.WriteHeader(answer.Status)
+	if hasBody(job.Method, answer.Status) {
+		_, _ = writer.Write(answer.Body)
+	}
 }
 
 type faultWire struct {
