Publish once under races and lost answers and delete unused packs

Cause: a root write without an answer was read back once, so that one that took effect late was reported as not run. A change-id could be used again with other content. A stored pack with wrong content was named by the next version. Packs that no version names were never deleted.

Change: a lost root write is read back and, while the root keeps its revision, sent again; both depend on that revision. The root remembers the content hash of each of the latest 64 changes. A publisher lists the packs once, moves bodies out of damaged ones and compares packs that exist already. The root lists retired packs. After an hour a version marks them as being deleted, and only then its writer deletes them, in the revision listed before the commit. A pack that is being deleted is stored anew before it is named. Reads are retried with jitter within five seconds. A node reads the root again if the platform did not give all of it.

Ruled out: deleting by age alone, since a publisher may name an old pack again while another one deletes it.

--- a/admin/fetch.go
+++ b/admin/fetch.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"bytes"
 	"context"
 	"maps"
 
@@ -16,7 +17,9 @@
 }
 
 // FetchBundle reads the packs of the bodies that a root names and held does
-// not hold.
+// not hold. A missing pack is ConfigRefused, unless the platform holds another
+// root by now: then the error is PlatformUnavailable, and the root is to be
+// read again.
 func FetchBundle(ctx context.Context, store *plat.Store, rootBody []byte, held conf.Bundle) (conf.Bundle, error) {
 	root, err := codec.ReadRoot(rootBody)
 	if err != nil {
@@ -28,6 +31,9 @@
 			continue
 		}
 		pack, err := fetchPack(ctx, store, entry.Pack)
+		if fault.Is(err, fault.NotFound) {
+			err = missing(ctx, store, rootBody, entry.Pack)
+		}
 		if err != nil {
 			return conf.Bundle{}, err
 		}
@@ -41,15 +47,23 @@
 
 func fetchPack(ctx context.Context, store *plat.Store, hash types.Hash) (conf.Pack, error) {
 	object, err := store.Get(ctx, packName(hash))
-	if fault.Is(err, fault.NotFound) {
-		return conf.Pack{}, fault.New(fault.ConfigRefused, "pack %s is missing", hash)
-	}
 	if err != nil {
 		return conf.Pack{}, err
 	}
 	return codec.ReadPack(object.Body, hash)
 }
 
+func missing(ctx context.Context, store *plat.Store, rootBody []byte, pack types.Hash) error {
+	object, err := store.Get(ctx, plat.RootName)
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(object.Body, rootBody) {
+		return fault.New(fault.PlatformUnavailable, "the root changed while its packs were read")
+	}
+	return fault.New(fault.ConfigRefused, "pack %s is missing", pack)
+}
+
 // pruned drops the bodies that the root does not name.
 func pruned(bundle conf.Bundle, root conf.Root) conf.Bundle {
 	bodies := make(map[types.Hash][]byte, len(root.Entries))
--- a/admin/publish.go
+++ b/admin/publish.go
@@ -9,6 +9,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"sequoiamill.example/sequoiamill/codec"
@@ -18,10 +20,7 @@
 	"sequoiamill.example/sequoiamill/types"
 )
 
-const (
-	readBackTries = 5
-	readBackPause = 100 * time.Millisecond
-)
+const maxChangeID = 128
 
 // Change is what an operator wants published.
 type Change struct {
@@ -45,6 +44,9 @@
 type Publisher struct {
 	store *plat.Store
 	held  func() conf.Bundle
+	now   func() time.Time
+	// pause waits and reports whether the context still lasts.
+	pause func(ctx context.Context, wait time.Duration) bool
 }
 
 // Option changes a setting of a publisher.
@@ -55,90 +57,106 @@
 	return func(pb *Publisher) { pb.held = held }
 }
 
+// WithNow sets the source of the present time.
+func WithNow(now func() time.Time) Option {
+	return func(pb *Publisher) { pb.now = now }
+}
+
+// WithPause sets how the publisher waits between two tries.
+func WithPause(pause func(ctx context.Context, wait time.Duration) bool) Option {
+	return func(pb *Publisher) { pb.pause = pause }
+}
+
 // NewPublisher returns a publisher to a store.
 func NewPublisher(store *plat.Store, opts ...Option) *Publisher {
-	pb := &Publisher{store: store, held: func() conf.Bundle { return conf.Bundle{} }}
+	pb := &Publisher{store: store, held: func() conf.Bundle { return conf.Bundle{} }, now: time.Now, pause: pause}
 	for _, opt := range opts {
 		opt(pb)
 	}
 	return pb
 }
 
+// stored is what the platform holds at the start of a change. The packs are
+// listed after the root was read.
+type stored struct {
+	object plat.Object
+	root   conf.Root
+	packs  map[types.Hash]plat.Object
+}
+
 // Publish makes one new version of a change or none at all. A change that was
-// accepted before gives its first result.
+// accepted before gives its first result, whatever its base version is now.
+// The platform remembers the latest 64 changes. An older one is a new change,
+// and its base version refuses it, since that is no longer the current one.
 func (pb *Publisher) Publish(ctx context.Context, change Change) (Accepted, error) {
-	if change.ID == "" {
-		return Accepted{}, fault.New(fault.InvalidInput, "the change-id is missing")
+	if change.ID == "" || len(change.ID) > maxChangeID {
+		return Accepted{}, fault.New(fault.InvalidInput, "the change-id must have from 1 to %d characters", maxChangeID)
+	}
+	content, err := codec.HashChange(change.Config, change.Replace, change.Delete)
+	if err != nil {
+		return Accepted{}, err
 	}
 	object, root, err := pb.readRoot(ctx)
 	if err != nil {
 		return Accepted{}, err
 	}
-	if version, ok := root.ByChange(change.ID); ok {
-		return Accepted{Version: version, Repeated: true}, nil
+	if accepted, ok, err := repeated(root, change.ID, content); ok {
+		return accepted, err
 	}
 	if root.Version != change.Base {
 		return Accepted{}, conflict(change.Base, root.Version)
 	}
-	bundle, packs, err := pb.prepare(ctx, root, change)
+	before := stored{object: object, root: root}
+	if before.packs, err = pb.listPacks(ctx); err != nil {
+		return Accepted{}, err
+	}
+	bundle, packs, err := pb.prepare(before, change, content)
 	if err != nil {
 		return Accepted{}, err
 	}
-	if err := pb.writePacks(ctx, packs); err != nil {
+	if err := pb.writePacks(ctx, before, packs); err != nil {
 		return Accepted{}, err
 	}
-	return pb.commit(ctx, object.WithBody(bundle.RootBody), change, root.Version+1)
+	accepted, err := pb.commit(ctx, object.WithBody(bundle.RootBody), change, content)
+	if err == nil {
+		pb.deletePacks(ctx, before, bundle)
+	}
+	return accepted, err
 }
 
-// Read returns the configuration that the platform holds.
-func (pb *Publisher) Read(ctx context.Context) (conf.Snapshot, error) {
-	object, root, err := pb.readRoot(ctx)
-	if err != nil {
-		return conf.Snapshot{}, err
-	}
-	if root.Version == 0 {
-		return conf.Snapshot{}, nil
-	}
-	bundle, err := FetchBundle(ctx, pb.store, object.Body, pb.held())
-	if err != nil {
-		return conf.Snapshot{}, err
+// repeated returns the first result of a change. A change-id that stands for
+// another content is KeyReused.
+func repeated(root conf.Root, id types.ChangeID, content types.Hash) (Accepted, bool, error) {
+	known, ok := root.ByChange(id)
+	switch {
+	case !ok:
+		return Accepted{}, false, nil
+	case known.Content != content:
+		return Accepted{}, true, fault.New(fault.KeyReused, "change-id %s made version %d of another content", id, known.Version)
 	}
-	return codec.Open(bundle)
+	return Accepted{Version: known.Version, Repeated: true}, true, nil
 }
 
 func conflict(base, current types.Version) error {
 	return fault.New(fault.VersionConflict, "the change is based on version %d, the current version is %d", base, current)
 }
 
-func (pb *Publisher) readRoot(ctx context.Context) (plat.Object, conf.Root, error) {
-	object, err := pb.store.Get(ctx, plat.RootName)
-	if fault.Is(err, fault.NotFound) {
-		return plat.Object{Name: plat.RootName}, conf.Root{}, nil
-	}
+// prepare returns the next version, validated in the form that nodes read, and
+// the packs to write for it.
+func (pb *Publisher) prepare(before stored, change Change, content types.Hash) (conf.Bundle, []conf.Pack, error) {
+	config, err := pb.merge(before, change)
 	if err != nil {
-		return plat.Object{}, conf.Root{}, err
-	}
-	root, err := codec.ReadRoot(object.Body)
-	return object, root, err
-}
-
-func (pb *Publisher) prepare(ctx context.Context, root conf.Root, change Change) (conf.Bundle, []conf.Pack, error) {
-	config := change.Config
-	if !change.Replace {
-		current, err := pb.Read(ctx)
-		if err != nil {
-			return conf.Bundle{}, nil, err
-		}
-		config = current.Config().Merge(change.Config, change.Delete)
+		return conf.Bundle{}, nil, err
 	}
 	if err := conf.Validate(config); err != nil {
 		return conf.Bundle{}, nil, err
 	}
-	bundle, err := codec.Seal(root.Next(change.ID), config)
+	next := before.root.Next(change.ID, content, slices.Collect(maps.Keys(before.packs)), pb.now())
+	bundle, err := codec.Seal(next, config)
 	if err != nil {
 		return conf.Bundle{}, nil, err
 	}
-	bundle, packs, err := codec.Pack(bundle, root)
+	bundle, packs, err := codec.Pack(bundle, before.root.WithPacks(before.intact()))
 	if err != nil {
 		return conf.Bundle{}, nil, err
 	}
@@ -146,56 +164,50 @@
 	return bundle, packs, err
 }
 
-func (pb *Publisher) writePacks(ctx context.Context, packs []conf.Pack) error {
-	for _, pack := range packs {
-		object := plat.Object{Name: packName(pack.Hash), Body: pack.Text}
-		if _, err := pb.store.Put(ctx, object); err != nil && !fault.Is(err, fault.VersionConflict) {
-			return err
+func (pb *Publisher) merge(before stored, change Change) (conf.Config, error) {
+	if change.Replace {
+		if len(change.Delete) > 0 {
+			return conf.Config{}, fault.New(fault.InvalidInput, "a change that replaces all resources names none to delete")
 		}
+		return change.Config, nil
 	}
-	return nil
-}
-
-func (pb *Publisher) commit(ctx context.Context, object plat.Object, change Change, version types.Version) (Accepted, error) {
-	_, err := pb.store.Put(ctx, object)
-	switch {
-	case err == nil:
-		return Accepted{Version: version}, nil
-	case fault.Is(err, fault.VersionConflict), fault.Is(err, fault.PlatformUnavailable):
-		return pb.readBack(ctx, change, err)
-	default:
-		return Accepted{}, err
+	known := map[conf.Key]bool{}
+	for _, entry := range before.root.Entries {
+		known[entry.Key] = true
+	}
+	for _, key := range change.Delete {
+		if !known[key] {
+			return conf.Config{}, fault.New(fault.NotFound, "%s %q is not in version %d", key.Kind, key.Name, before.root.Version)
+		}
 	}
+	if before.root.Version == 0 {
+		return change.Config, nil
+	}
+	snap, err := before.open(pb.held())
+	if err != nil {
+		return conf.Config{}, err
+	}
+	return snap.Config().Merge(change.Config, change.Delete), nil
 }
 
-// readBack learns whether a root write whose answer is not known took effect.
-func (pb *Publisher) readBack(ctx context.Context, change Change, cause error) (Accepted, error) {
-	for range readBackTries {
-		_, root, err := pb.readRoot(ctx)
-		if err != nil {
-			if !pause(ctx, readBackPause) {
-				break
-			}
-			continue
-		}
-		if version, ok := root.ByChange(change.ID); ok {
-			return Accepted{Version: version}, nil
+// intact returns the stored packs that have the content that their names say.
+func (sd stored) intact() types.Set[types.Hash] {
+	var hashes []types.Hash
+	for hash, object := range sd.packs {
+		if codec.HashOf(object.Body) == hash {
+			hashes = append(hashes, hash)
 		}
-		if root.Version != change.Base {
-			return Accepted{}, conflict(change.Base, root.Version)
-		}
-		return Accepted{}, cause
 	}
-	return Accepted{}, fault.New(fault.OutcomeUnknown, "the platform did not say whether change %s was accepted: %v", change.ID, cause)
+	return types.NewSet(hashes...)
 }
 
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+// open decodes the version that the platform holds.
+func (sd stored) open(held conf.Bundle) (conf.Snapshot, error) {
+	bundle := conf.Bundle{RootBody: sd.object.Body, Bodies: map[types.Hash][]byte{}}
+	for _, hash := range sd.root.Packs().Sorted() {
+		if pack, err := codec.ReadPack(sd.packs[hash].Body, hash); err == nil {
+			maps.Copy(bundle.Bodies, pack.Bodies)
+		}
 	}
+	return codec.Open(codec.FillBundle(bundle, held))
 }
--- /dev/null
+++ b/admin/publish_test.go
@@ -0,0 +1,379 @@
+package admin_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"sequoiamill.example/sequoiamill/admin"
+	"sequoiamill.example/sequoiamill/codec"
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/plat"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+// bench is a store in memory with a virtual clock and functions to fail with.
+type bench struct {
+	*plat.Store
+	memory *plat.Memory
+	now    time.Time
+	pauses int
+}
+
+func newBench() *bench {
+	memory := plat.NewMemory()
+	return &bench{Store: memory.Store(), memory: memory, now: time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)}
+}
+
+func (bn *bench) publisher() *admin.Publisher {
+	pause := func(_ context.Context, wait time.Duration) bool {
+		bn.pauses++
+		bn.now = bn.now.Add(wait)
+		return true
+	}
+	return admin.NewPublisher(bn.Store, admin.WithNow(func() time.Time { return bn.now }), admin.WithPause(pause))
+}
+
+// failRootPut lets a function take the place of each root write.
+func (bn *bench) failRootPut(fail func(try int, write func() (plat.Object, error)) (plat.Object, error)) {
+	put, try := bn.Put, 0
+	bn.Put = func(ctx context.Context, object plat.Object) (plat.Object, error) {
+		if object.Name != plat.RootName {
+			return put(ctx, object)
+		}
+		try++
+		return fail(try, func() (plat.Object, error) { return put(ctx, object) })
+	}
+}
+
+func services(names ...string) conf.Config {
+	var config conf.Config
+	for _, name := range names {
+		config.Services = append(config.Services, conf.Service{Name: types.ServiceName(name)})
+	}
+	return config
+}
+
+func replace(id string, base types.Version, names ...string) admin.Change {
+	return admin.Change{ID: types.ChangeID(id), Base: base, Config: services(names...), Replace: true}
+}
+
+func unavailable(outcome fault.Outcome) error {
+	return fault.New(fault.PlatformUnavailable, "down").WithOutcome(outcome).WithRetryAfter(time.Second)
+}
+
+func TestRaceMakesOneVersion(t *testing.T) {
+	is := is.New(t)
+	bn := newBench()
+	_, err := bn.publisher().Publish(t.Context(), replace("first", 0, "a"))
+	is.NoErr(err)
+	const operators = 8
+	results := make([]error, operators)
+	var group sync.WaitGroup
+	for number := range operators {
+		group.Go(func() {
+			publisher := admin.NewPublisher(bn.Store)
+			_, results[number] = publisher.Publish(t.Context(), replace(fmt.Sprint("change-", number), 1, fmt.Sprint("s", number)))
+		})
+	}
+	group.Wait()
+	snap, err := bn.publisher().Read(t.Context())
+	is.NoErr(err)
+	is.Equal(snap.Version(), types.Version(2))
+	for number, err := range results {
+		won := snap.Root().Change == types.ChangeID(fmt.Sprint("change-", number))
+		is.Equal(won, err == nil)
+		is.Equal(won, snap.HasService(types.ServiceName(fmt.Sprint("s", number))))
+		if !won {
+			is.Equal(err.Error(), "version-conflict: the change is based on version 1, the current version is 2")
+		}
+	}
+}
+
+func TestLostRootAnswer(t *testing.T) {
+	type write = func() (plat.Object, error)
+	nothing := func() (plat.Object, error) { return plat.Object{}, nil }
+	lose := func(write write) (plat.Object, error) {
+		object, _ := write()
+		return object, unavailable(fault.Unknown)
+	}
+	tests := []struct {
+		name    string
+		fail    func(bn *bench) func(try int, write write) (plat.Object, error)
+		kind    fault.Kind
+		version types.Version
+	}{
+		{"taken, answer lost", func(*bench) func(int, write) (plat.Object, error) {
+			return func(_ int, write write) (plat.Object, error) { return lose(write) }
+		}, 0, 1},
+		{"lost on the way", func(*bench) func(int, write) (plat.Object, error) {
+			return func(try int, write write) (plat.Object, error) {
+				if try == 1 {
+					return lose(nothing)
+				}
+				return write()
+			}
+		}, 0, 1},
+		{"taken late", func(*bench) func(int, write) (plat.Object, error) {
+			var late write
+			return func(try int, write write) (plat.Object, error) {
+				if try == 1 {
+					late = write
+					return lose(nothing)
+				}
+				_, _ = late()
+				return write()
+			}
+		}, 0, 1},
+		{"taken by another operator", func(bn *bench) func(int, write) (plat.Object, error) {
+			return func(try int, write write) (plat.Object, error) {
+				if try == 1 {
+					_, _ = admin.NewPublisher(bn.memory.Store()).Publish(context.Background(), replace("other", 0, "b"))
+					return lose(nothing)
+				}
+				return write()
+			}
+		}, fault.VersionConflict, 1},
+		{"never answered", func(*bench) func(int, write) (plat.Object, error) {
+			return func(int, write) (plat.Object, error) { return lose(nothing) }
+		}, fault.OutcomeUnknown, 0},
+		{"down after the write", func(bn *bench) func(int, write) (plat.Object, error) {
+			return func(_ int, write write) (plat.Object, error) {
+				bn.Get = func(context.Context, plat.Name) (plat.Object, error) {
+					return plat.Object{}, unavailable(fault.NotRun)
+				}
+				return lose(write)
+			}
+		}, fault.OutcomeUnknown, 1},
+		{"refused", func(*bench) func(int, write) (plat.Object, error) {
+			return func(int, write) (plat.Object, error) { return plat.Object{}, unavailable(fault.NotRun) }
+		}, fault.PlatformUnavailable, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			bn := newBench()
+			bn.failRootPut(test.fail(bn))
+			accepted, err := bn.publisher().Publish(t.Context(), replace("mine", 0, "a"))
+			is.Equal(fault.Is(err, test.kind), err != nil)
+			is.Equal(err != nil, test.kind != 0)
+			if err == nil {
+				is.Equal(accepted, admin.Accepted{Version: test.version})
+			}
+			snap, err := admin.NewPublisher(bn.memory.Store()).Read(t.Context())
+			is.NoErr(err)
+			is.Equal(snap.Version(), test.version)
+		})
+	}
+}
+
+func TestRepeatedChange(t *testing.T) {
+	is := is.New(t)
+	bn := newBench()
+	publisher := bn.publisher()
+	const changes = 70
+	for number := range changes {
+		_, err := publisher.Publish(t.Context(), replace(fmt.Sprint("c", number), types.Version(number), "a", fmt.Sprint("s", number)))
+		is.NoErr(err)
+	}
+	for _, base := range []types.Version{60, changes} {
+		accepted, err := publisher.Publish(t.Context(), replace("c60", base, "s60", "a"))
+		is.NoErr(err)
+		is.Equal(accepted, admin.Accepted{Version: 61, Repeated: true})
+	}
+	_, err := publisher.Publish(t.Context(), replace("c60", 60, "a"))
+	is.True(fault.Is(err, fault.KeyReused))
+	_, err = publisher.Publish(t.Context(), replace("c0", 0, "a", "s0"))
+	is.True(fault.Is(err, fault.VersionConflict))
+	for _, id := range []string{"", strings.Repeat("x", 129)} {
+		_, err = publisher.Publish(t.Context(), replace(id, changes, "a"))
+		is.True(fault.Is(err, fault.InvalidInput))
+	}
+}
+
+func TestMergedChange(t *testing.T) {
+	is := is.New(t)
+	publisher := newBench().publisher()
+	_, err := publisher.Publish(t.Context(), replace("1", 0, "a", "b"))
+	is.NoErr(err)
+	merge := admin.Change{ID: "2", Base: 1, Config: services("c"), Delete: []conf.Key{{Kind: conf.ServiceKind, Name: "a"}}}
+	_, err = publisher.Publish(t.Context(), merge)
+	is.NoErr(err)
+	snap, err := publisher.Read(t.Context())
+	is.NoErr(err)
+	is.Equal(snap.Config(), services("b", "c"))
+	merge.ID, merge.Base = "3", 2
+	_, err = publisher.Publish(t.Context(), merge)
+	is.True(fault.Is(err, fault.NotFound))
+	merge.Replace = true
+	_, err = publisher.Publish(t.Context(), merge)
+	is.True(fault.Is(err, fault.InvalidInput))
+}
+
+func TestDamagedPackIsReplaced(t *testing.T) {
+	damages := map[string]func(bn *bench, object plat.Object) error{
+		"wrong content": func(bn *bench, object plat.Object) error {
+			_, err := bn.Put(context.Background(), object.WithBody([]byte("{}")))
+			return err
+		},
+		"missing": func(bn *bench, object plat.Object) error { return bn.Delete(context.Background(), object) },
+	}
+	for name, damage := range damages {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			bn := newBench()
+			_, err := bn.publisher().Publish(t.Context(), replace("1", 0, "a"))
+			is.NoErr(err)
+			packs, err := bn.List(t.Context(), plat.BodyKind)
+			is.NoErr(err)
+			is.NoErr(damage(bn, packs[0]))
+			_, err = bn.publisher().Read(t.Context())
+			is.True(fault.Is(err, fault.ConfigRefused))
+			_, err = bn.publisher().Publish(t.Context(), replace("2", 1, "a", "b"))
+			is.NoErr(err)
+			snap, err := bn.publisher().Read(t.Context())
+			is.NoErr(err)
+			is.Equal(snap.Config(), services("a", "b"))
+		})
+	}
+	t.Run("created meanwhile with wrong content", func(t *testing.T) {
+		is := is.New(t)
+		bn := newBench()
+		put := bn.Put
+		bn.Put = func(ctx context.Context, object plat.Object) (plat.Object, error) {
+			if object.Name.Kind == plat.BodyKind && object.Revision == "" {
+				_, _ = put(ctx, object.WithBody([]byte("other")))
+			}
+			return put(ctx, object)
+		}
+		_, err := bn.publisher().Publish(t.Context(), replace("1", 0, "a"))
+		is.NoErr(err)
+		_, err = bn.publisher().Read(t.Context())
+		is.NoErr(err)
+	})
+}
+
+func TestUnavailablePlatform(t *testing.T) {
+	tests := []struct {
+		name  string
+		wait  time.Duration
+		calls int
+	}{
+		{"down", time.Second, 3},
+		{"over its call limit", 2 * time.Second, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			bn, calls := newBench(), 0
+			bn.Get = func(context.Context, plat.Name) (plat.Object, error) {
+				calls++
+				return plat.Object{}, fault.New(fault.PlatformUnavailable, "no").WithRetryAfter(test.wait)
+			}
+			_, err := bn.publisher().Publish(t.Context(), replace("1", 0, "a"))
+			is.True(fault.Is(err, fault.PlatformUnavailable))
+			is.Equal(fault.From(err).RetryAfter, test.wait)
+			is.Equal(calls, test.calls)
+		})
+	}
+}
+
+// readable reports whether each pack of a root is stored whole.
+func readable(store *plat.Store, rootBody []byte) error {
+	bundle, err := admin.FetchBundle(context.Background(), store, rootBody, conf.Bundle{})
+	if err == nil {
+		_, err = codec.Open(bundle)
+	}
+	return err
+}
+
+func TestGarbageStaysBounded(t *testing.T) {
+	is := is.New(t)
+	bn := newBench()
+	publisher := bn.publisher()
+	const changes, interval = 120, 12 * time.Minute
+	var roots [][]byte
+	for number := range changes {
+		_, err := publisher.Publish(t.Context(), replace(fmt.Sprint(number), types.Version(number), "a", fmt.Sprint("s", number)))
+		is.NoErr(err)
+		object, err := bn.Get(t.Context(), plat.RootName)
+		is.NoErr(err)
+		roots = append(roots, object.Body)
+		bn.now = bn.now.Add(interval)
+		if late := len(roots) - int(conf.Retention/interval); late >= 0 {
+			is.NoErr(readable(bn.Store, roots[late]))
+		}
+	}
+	packs, err := bn.List(t.Context(), plat.BodyKind)
+	is.NoErr(err)
+	is.True(len(packs) <= int(conf.Retention/interval)+5)
+	err = readable(bn.Store, roots[1])
+	is.True(fault.Is(err, fault.PlatformUnavailable))
+}
+
+// TestSweepKeepsNamedPacks lets publishers return to earlier contents, race
+// each other and run their deletions late, in any order.
+func TestSweepKeepsNamedPacks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bn := newBench()
+		var late []func()
+		lateDeletes := *bn.Store
+		committed := false
+		lateDeletes.Put = func(ctx context.Context, object plat.Object) (plat.Object, error) {
+			written, err := bn.memory.Put(ctx, object)
+			committed = committed || object.Name == plat.RootName
+			return written, err
+		}
+		lateDeletes.Delete = func(ctx context.Context, object plat.Object) error {
+			if !committed {
+				return bn.memory.Delete(ctx, object)
+			}
+			late = append(late, func() { _ = bn.memory.Delete(ctx, object) })
+			return nil
+		}
+		slow := admin.NewPublisher(&lateDeletes, admin.WithNow(func() time.Time { return bn.now }))
+		id := 0
+		publish := func(publisher *admin.Publisher) {
+			root, err := bn.publisher().Read(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			id++
+			content := fmt.Sprint("s", rapid.IntRange(0, 3).Draw(t, "content"))
+			_, err = publisher.Publish(context.Background(), replace(fmt.Sprint(id), root.Version(), content))
+			if err != nil && !fault.Is(err, fault.VersionConflict) {
+				t.Fatal(err)
+			}
+		}
+		lateDeletes.List = func(ctx context.Context, kind plat.Kind) ([]plat.Object, error) {
+			objects, err := bn.memory.List(ctx, kind)
+			if rapid.Bool().Draw(t, "race") {
+				publish(bn.publisher())
+			}
+			return objects, err
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			bn.now = bn.now.Add(time.Duration(rapid.IntRange(1, 90).Draw(t, "minutes")) * time.Minute)
+			committed = false
+			publish(slow)
+			if len(late) > 0 && rapid.Bool().Draw(t, "delete") {
+				late[0]()
+				late = late[1:]
+			}
+			object, err := bn.Get(context.Background(), plat.RootName)
+			if err == nil {
+				err = readable(bn.Store, object.Body)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/admin/server.go
+++ b/admin/server.go
@@ -16,7 +16,11 @@
 	"sequoiamill.example/sequoiamill/types"
 )
 
-const waitInterval = 100 * time.Millisecond
+const (
+	waitInterval = 100 * time.Millisecond
+	// publishTimeout bounds a change or a read of the platform.
+	publishTimeout = 5 * time.Second
+)
 
 // View is what a node knows of itself and the fleet.
 type View struct {
@@ -48,6 +52,8 @@
 
 // Get returns the configuration that the platform holds.
 func (sv *server) Get(ctx context.Context, _ *connect.Request[opsv1.GetRequest]) (*connect.Response[opsv1.GetResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
 	snap, err := sv.service.Publisher.Read(ctx)
 	if err != nil {
 		return nil, codec.FaultToRPC(err)
@@ -65,6 +71,8 @@
 	if err != nil {
 		return nil, codec.FaultToRPC(err)
 	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
 	accepted, err := sv.service.Publisher.Publish(ctx, change)
 	if err != nil {
 		return nil, codec.FaultToRPC(err)
--- a/codec/pack.go
+++ b/codec/pack.go
@@ -43,7 +43,7 @@
 		}
 		assign(&root, stored, packs)
 	}
-	bundle.RootBody, err = writeRoot(root)
+	bundle.RootBody, err = writeRoot(root.WithoutNamed())
 	return bundle, packs, err
 }
 
--- a/codec/pack_test.go
+++ b/codec/pack_test.go
@@ -33,7 +33,7 @@
 	const routes, versions, mostPacks = 400, 40, 16
 	var root conf.Root
 	for version := range versions {
-		sealed, err := codec.Seal(root.Next("change"), configWith(routes, time.Duration(version+1)*time.Second))
+		sealed, err := codec.Seal(root.Next("", "", nil, time.Time{}), configWith(routes, time.Duration(version+1)*time.Second))
 		is.NoErr(err)
 		bundle, packs, err := codec.Pack(sealed, root)
 		is.NoErr(err)
--- /dev/null
+++ b/codec/root.go
@@ -0,0 +1,112 @@
+package codec
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+type rootWire struct {
+	Version uint64         `json:"version"`
+	Change  string         `json:"change-id"`
+	Packs   []string       `json:"packs"`
+	Entries []entryWire    `json:"entries"`
+	Recent  []acceptedWire `json:"recent"`
+	// Retired and Deleting hold stored packs that no entry names.
+	Retired  []retiredWire `json:"retired,omitempty"`
+	Deleting []string      `json:"deleting,omitempty"`
+}
+
+type retiredWire struct {
+	Pack     string `json:"pack"`
+	AtMillis int64  `json:"at-millis"`
+}
+
+type entryWire struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	Hash string `json:"hash"`
+	// Pack is the place in the list of packs.
+	Pack int `json:"pack"`
+}
+
+type acceptedWire struct {
+	Change  string `json:"change-id"`
+	Version uint64 `json:"version"`
+	Content string `json:"content,omitempty"`
+}
+
+func writeRoot(root conf.Root) ([]byte, error) {
+	wire := rootWire{Version: uint64(root.Version), Change: string(root.Change)}
+	places := map[types.Hash]int{}
+	for _, pack := range root.Packs().Sorted() {
+		places[pack] = len(wire.Packs)
+		wire.Packs = append(wire.Packs, string(pack))
+	}
+	for _, entry := range root.Entries {
+		item := entryWire{Kind: entry.Key.Kind.String(), Name: entry.Key.Name, Hash: string(entry.Hash), Pack: places[entry.Pack]}
+		wire.Entries = append(wire.Entries, item)
+	}
+	for _, accepted := range root.Recent {
+		wire.Recent = append(wire.Recent, acceptedWire{Change: string(accepted.Change), Version: uint64(accepted.Version), Content: string(accepted.Content)})
+	}
+	for _, retired := range root.Retired {
+		wire.Retired = append(wire.Retired, retiredWire{Pack: string(retired.Pack), AtMillis: retired.At.UnixMilli()})
+	}
+	for _, hash := range root.Deleting {
+		wire.Deleting = append(wire.Deleting, string(hash))
+	}
+	body, err := json.Marshal(wire)
+	if err != nil {
+		return nil, errors.WithMessage(err, "encode root")
+	}
+	if len(body) > MaxObject {
+		return nil, fault.New(fault.TooLarge, "the root has %d bytes of at most %d", len(body), MaxObject)
+	}
+	return body, nil
+}
+
+// ReadRoot decodes a root body.
+func ReadRoot(body []byte) (conf.Root, error) {
+	if len(body) > MaxObject {
+		return conf.Root{}, fault.New(fault.ConfigRefused, "the root has %d bytes of at most %d", len(body), MaxObject)
+	}
+	var wire rootWire
+	if err := strictJSON(body, &wire); err != nil {
+		return conf.Root{}, fault.Wrap(fault.ConfigRefused, err, "decode root")
+	}
+	root := conf.Root{Version: types.Version(wire.Version), Change: types.ChangeID(wire.Change)}
+	for _, item := range wire.Entries {
+		kind, ok := conf.ParseResourceKind(item.Kind)
+		if !ok {
+			return conf.Root{}, fault.New(fault.ConfigRefused, "decode root: unknown resource kind %q", item.Kind)
+		}
+		if item.Pack < 0 || item.Pack >= len(wire.Packs) {
+			return conf.Root{}, fault.New(fault.ConfigRefused, "decode root: %s %q names the pack %d of %d", kind, item.Name, item.Pack, len(wire.Packs))
+		}
+		entry := conf.Entry{Key: conf.Key{Kind: kind, Name: item.Name}, Hash: types.Hash(item.Hash), Pack: types.Hash(wire.Packs[item.Pack])}
+		root.Entries = append(root.Entries, entry)
+	}
+	for _, item := range wire.Recent {
+		root.Recent = append(root.Recent, conf.Accepted{
+			Change:  types.ChangeID(item.Change),
+			Version: types.Version(item.Version),
+			Content: types.Hash(item.Content),
+		})
+	}
+	for _, item := range wire.Retired {
+		root.Retired = append(root.Retired, conf.Retired{Pack: types.Hash(item.Pack), At: time.UnixMilli(item.AtMillis)})
+	}
+	for _, hash := range wire.Deleting {
+		root.Deleting = append(root.Deleting, types.Hash(hash))
+	}
+	if root.Version == 0 {
+		return conf.Root{}, fault.New(fault.ConfigRefused, "decode root: the version is 0")
+	}
+	return root, nil
+}
--- a/conf/merge.go
+++ b/conf/merge.go
@@ -1,24 +1,5 @@
 package conf
 
-import (
-	"slices"
-
-	"sequoiamill.example/sequoiamill/types"
-)
-
-// maxRecent bounds the accepted changes that a root remembers.
-const maxRecent = 64
-
-// Next returns the root of the following version, without entries.
-func (r Root) Next(change types.ChangeID) Root {
-	version := r.Version + 1
-	recent := append(slices.Clone(r.Recent), Accepted{Change: change, Version: version})
-	if len(recent) > maxRecent {
-		recent = recent[len(recent)-maxRecent:]
-	}
-	return Root{Version: version, Change: change, Recent: recent}
-}
-
 // Merge returns the configuration with the given resources put and the named
 // ones removed.
 func (c Config) Merge(put Config, remove []Key) Config {
--- a/conf/resource.go
+++ b/conf/resource.go
@@ -1,6 +1,8 @@
 package conf
 
 import (
+	"time"
+
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -56,6 +58,14 @@
 type Accepted struct {
 	Change  types.ChangeID
 	Version types.Version
+	// Content is the hash of what the change asked for.
+	Content types.Hash
+}
+
+// Retired is a stored pack that no entry has named since an instant.
+type Retired struct {
+	Pack types.Hash
+	At   time.Time
 }
 
 // Root is the platform's commit point: a version and its resources.
@@ -65,16 +75,21 @@
 	Entries []Entry
 	// Recent lists the latest accepted changes, newest last.
 	Recent []Accepted
+	// Retired lists stored packs that the entries do not name.
+	Retired []Retired
+	// Deleting lists the packs that the writer of this root deletes. They
+	// must not be named again without being stored anew.
+	Deleting []types.Hash
 }
 
-// ByChange returns the version that a recent change made.
-func (r Root) ByChange(id types.ChangeID) (types.Version, bool) {
+// ByChange returns what is known of a recent change.
+func (r Root) ByChange(id types.ChangeID) (Accepted, bool) {
 	for _, accepted := range r.Recent {
 		if accepted.Change == id {
-			return accepted.Version, true
+			return accepted, true
 		}
 	}
-	return 0, false
+	return Accepted{}, false
 }
 
 // Config is a set of resources that is not yet a version.
--- a/node/platform.go
+++ b/node/platform.go
@@ -62,10 +62,15 @@
 func (nd *Node) watchRoot(ctx context.Context) {
 	pause := newBackoff()
 	for ctx.Err() == nil {
-		err := nd.store.Watch(ctx, plat.RootName, func(object plat.Object) {
-			pause.reset()
-			nd.rootSeen(ctx, object)
+		watch, cancel := context.WithCancel(ctx)
+		err := nd.store.Watch(watch, plat.RootName, func(object plat.Object) {
+			if nd.rootSeen(ctx, object) {
+				pause.reset()
+				return
+			}
+			cancel()
 		})
+		cancel()
 		if ctx.Err() == nil {
 			nd.event(trace.Event{Kind: trace.PlatformFailed, Detail: fault.From(err).Error()})
 		}
@@ -73,10 +78,11 @@
 	}
 }
 
-// rootSeen fetches what a root names and offers it to the reducer.
-func (nd *Node) rootSeen(ctx context.Context, object plat.Object) {
+// rootSeen fetches what a root names and offers it to the reducer. It reports
+// false if the platform did not give all of it, so that it is to be read again.
+func (nd *Node) rootSeen(ctx context.Context, object plat.Object) bool {
 	if object.Revision == "" {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
@@ -88,6 +94,7 @@
 	}
 	offer.Err = fault.From(err)
 	nd.loop.post(offer)
+	return !fault.Is(err, fault.PlatformUnavailable)
 }
 
 func (nd *Node) fetch(ctx context.Context, object plat.Object) (conf.Snapshot, error) {
