Drop the idle connections to an upstream after a lost answer

Cause: when the connections to an upstream went silent, each idle one held up one more call for its whole deadline. The scenario silence-upstream failed on its second call after the silence.

Change: an answer that did not come whole closes the idle connections to the upstream.

Ruled out: a probe of each idle connection before use, which costs every call a round trip.

A silence costs the calls in flight their deadline, and no later one.

--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -245,12 +245,14 @@
 		return refusal(fault.Wrap(fault.Unreachable, err, "connect to the upstream"))
 	}
 	if err != nil {
+		upstream.client.CloseIdleConnections()
 		return lost(fault.Wrap(fault.BrokenAnswer, err, "wait for the upstream"))
 	}
 	defer func() { _ = response.Body.Close() }()
 	reply := ow.readAnswer(response, job, requireEcho)
 	if reply.Verdict == flow.Lost {
 		used.close()
+		upstream.client.CloseIdleConnections()
 	}
 	return reply
 }
--- a/script/script_test.go
+++ b/script/script_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -110,18 +109,6 @@
 	serve(os.Args[3], relay)
 }
 
-func upstream() {
-	name := flag.String("name", "", "name in the answers")
-	listen := flag.String("listen", "", "address")
-	admin := flag.String("admin", "", "operator address of the node")
-	service := flag.String("service", "", "service")
-	work := flag.Duration("work", 0, "time of each request")
-	flag.Parse()
-	announcement := fakes.Announcement{Service: *service, Address: *listen, Slots: 10, Connections: 100}
-	go fakes.Announce(context.Background(), *admin, announcement, time.Second)
-	serve(*listen, &fakes.Upstream{Name: *name, Work: *work})
-}
-
 func get() {
 	response, err := http.Get(os.Args[1])
 	if err != nil {
