Refuse the queue of an upstream that takes no more work

Cause: work that waited for an upstream which leaves, closes or changes its service was run there or held; work was accepted that would run past closing; a rule's cap of connections had no effect; each choice scanned all members and read the opening hours of each.

Change: on such news waiting work is refused at once as not run, running work goes on. An upstream whose hours end before the route's usual duration gets no more of its work, at the entry and at the owner. The slots are capped by the connections, each work having one.

Ruled out: reading the hours for each choice, for its cost.

--- a/core/entry.go
+++ b/core/entry.go
@@ -60,43 +60,31 @@
 }
 
 func (st *State) pick(call flow.Call, tried types.Set[types.InstanceID], now time.Time) (route.Candidate, bool) {
-	owners := st.fleet.Owners(func(member fleet.Member) bool {
-		return member.Service == call.Route.Service && !tried.Has(member.ID) && st.open(member, now)
-	})
-	candidates := make([]route.Candidate, 0, len(owners))
-	for _, owner := range owners {
-		candidates = append(candidates, st.candidate(owner))
+	usual := st.balance.Usual(call.Route.Name)
+	candidates := st.candidates[:0]
+	for _, owner := range st.fleet.Serving(call.Route.Service) {
+		opening := st.opening(owner, now)
+		if !tried.Has(owner.ID) && opening.takes(usual, now) {
+			candidates = append(candidates, st.candidateOf(owner, opening))
+		}
 	}
+	st.candidates = candidates
 	return st.balance.Pick(call.Route.Name, candidates, now)
 }
 
-// open reports whether the rules let a member's upstream take work now.
-func (st *State) open(member fleet.Member, now time.Time) bool {
-	rule, ok := st.conf.Current().Rule(member.Service, member.Zone)
-	if !ok {
-		return !st.conf.Current().HasRules(member.Service)
-	}
-	hours, limited := rule.Hours.Get()
-	return !limited || hours.OpenAt(now)
+func (st *State) candidate(owner fleet.Member, now time.Time) route.Candidate {
+	return st.candidateOf(owner, st.opening(owner, now))
 }
 
-func (st *State) candidate(owner fleet.Member) route.Candidate {
+func (st *State) candidateOf(owner fleet.Member, opening opening) route.Candidate {
 	upstream, _ := owner.Upstream.Get()
-	rule, _ := st.conf.Current().Rule(owner.Service, owner.Zone)
 	return route.Candidate{
 		ID:       owner.ID,
 		Address:  owner.Address,
 		Local:    owner.ID == st.fleet.Self().ID,
 		SameZone: owner.Zone == st.fleet.Self().Zone,
-		Slots:    capped(upstream.Slots, rule.Slots),
+		Slots:    opening.slots(upstream),
 		Ready:    upstream.ReadyAt,
-		WarmUp:   max(upstream.WarmUp, rule.WarmUp),
-	}
-}
-
-func capped(announced, limit int) int {
-	if limit == 0 {
-		return announced
+		WarmUp:   max(upstream.WarmUp, opening.rule.WarmUp),
 	}
-	return min(announced, limit)
 }
--- a/core/keys.go
+++ b/core/keys.go
@@ -126,7 +126,7 @@
 }
 
 // nextOwner chooses the owner that a keyed call goes to.
-func (st *State) nextOwner(call flow.Call, passed types.Set[types.InstanceID], _ time.Time) (flow.Choice, *fault.Error) {
+func (st *State) nextOwner(call flow.Call, passed types.Set[types.InstanceID], now time.Time) (flow.Choice, *fault.Error) {
 	limits := st.keys.limits
 	if !limits.Knows(call.Minted, st.fleet.Self().Started) {
 		return flow.Choice{}, fault.New(fault.OutcomeUnknown, "the node started too late to know the key")
@@ -143,7 +143,7 @@
 	if !limits.Knows(call.Minted, first.member.Started) {
 		return flow.Choice{}, fault.New(fault.OutcomeUnknown, "the owner %s of the key started too late to know it", first.member.ID)
 	}
-	target := st.candidate(first.member)
+	target := st.candidate(first.member, now)
 	target.Route = call.Route.Name
 	return flow.Choice{Target: target, Last: len(left) == 1}, nil
 }
--- a/core/owner.go
+++ b/core/owner.go
@@ -22,14 +22,16 @@
 }
 
 func (st *State) announced(announcement Announcement, now time.Time) []types.Effect {
+	var effects []types.Effect
 	if !st.upstream.known || st.upstream.announcement.Service != announcement.Service {
 		st.upstream.readyAt = now
+		effects = st.clear(fault.NoUpstream, "the upstream changed its service")
 	}
 	st.upstream.known = true
 	st.upstream.renewed = now
 	changed := st.upstream.announcement != announcement
 	st.upstream.announcement = announcement
-	effects := st.refreshUpstream(now)
+	effects = append(effects, st.refreshUpstream(now)...)
 	if !changed {
 		return effects
 	}
@@ -41,31 +43,51 @@
 	return append(effects, event)
 }
 
-// refreshUpstream brings the slots and the node's record up to date.
+// refreshUpstream brings the slots and the node's record up to date. Work that
+// waits at an upstream that takes none any more is refused, so that it runs
+// elsewhere; running work goes on.
 func (st *State) refreshUpstream(now time.Time) []types.Effect {
-	if st.upstream.known && now.Sub(st.upstream.renewed) > announcementExpiry {
-		st.upstream = local{}
-		st.fleet.SetUpstream("", types.None[fleet.Upstream]())
-		event := trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: "announcement expired"}
-		return append(st.gate.Clear(fault.New(fault.NoUpstream, "the upstream is gone")), event)
-	}
 	if !st.upstream.known {
 		return nil
 	}
+	if now.Sub(st.upstream.renewed) > announcementExpiry {
+		return st.forgetUpstream()
+	}
 	announcement := st.upstream.announcement
-	rule, _ := st.conf.Current().Rule(announcement.Service, st.fleet.Self().Zone)
-	effects := st.gate.SetSlots(capped(announcement.Slots, rule.Slots), now)
-	next := types.Some(fleet.Upstream{
+	upstream := fleet.Upstream{
 		Slots:       announcement.Slots,
 		Connections: announcement.Connections,
 		WarmUp:      announcement.WarmUp,
 		ReadyAt:     st.upstream.readyAt,
 		Leaving:     announcement.Leaving,
-	})
-	if self := st.fleet.Self(); self.Service != announcement.Service || self.Upstream != next {
-		st.fleet.SetUpstream(announcement.Service, next)
 	}
-	return effects
+	if self := st.fleet.Self(); self.Service != announcement.Service || self.Upstream != types.Some(upstream) {
+		st.fleet.SetUpstream(announcement.Service, types.Some(upstream))
+	}
+	opening := st.opening(st.fleet.Self(), now)
+	var effects []types.Effect
+	switch {
+	case announcement.Leaving:
+		effects = st.clear(fault.Closed, "the upstream is leaving")
+	case !opening.open:
+		effects = st.clear(fault.Closed, "the upstream is closed at this hour")
+	}
+	return append(effects, st.gate.SetSlots(opening.slots(upstream), now)...)
+}
+
+func (st *State) forgetUpstream() []types.Effect {
+	st.upstream = local{}
+	st.fleet.SetUpstream("", types.None[fleet.Upstream]())
+	event := trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: "announcement expired"}
+	return append(st.clear(fault.NoUpstream, "the upstream is gone"), event)
+}
+
+// clear refuses all waiting work.
+func (st *State) clear(kind fault.Kind, reason string) []types.Effect {
+	if st.gate.Queued() == 0 {
+		return nil
+	}
+	return st.gate.Clear(fault.New(kind, "%s", reason).WithRetryAfter(comeBackSoon))
 }
 
 func (st *State) workArrived(work admit.Work, now time.Time) []types.Effect {
@@ -81,8 +103,7 @@
 			admit.Refuse{Work: work, Err: err},
 		}
 	}
-	rule, _ := st.conf.Current().Rule(work.Service, st.fleet.Self().Zone)
-	work.RequireEcho = rule.RequireEcho
+	work.RequireEcho = st.opening(st.fleet.Self(), now).rule.RequireEcho
 	return st.gate.Arrive(work, now)
 }
 
@@ -96,8 +117,8 @@
 		return fault.New(fault.NoUpstream, "the node owns no upstream of service %q", work.Service).WithRetryAfter(comeBackSoon)
 	case st.upstream.announcement.Leaving:
 		return fault.New(fault.Closed, "the upstream is leaving").WithRetryAfter(comeBackSoon)
-	case !st.open(st.fleet.Self(), now):
-		return fault.New(fault.Closed, "the upstream is closed at this hour").WithRetryAfter(comeBackSoon)
+	case !st.opening(st.fleet.Self(), now).takes(st.gate.Usual(work.Route), now):
+		return fault.New(fault.Closed, "the upstream is closed when the work would end").WithRetryAfter(comeBackSoon)
 	default:
 		return nil
 	}
--- /dev/null
+++ b/core/policy_test.go
@@ -0,0 +1,197 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiamill.example/sequoiamill/admit"
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/core"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/route"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+var start = time.Date(2026, 3, 2, 10, 0, 0, 0, time.UTC)
+
+// mesh is one node that has joined and holds a configuration.
+type mesh struct {
+	state *core.State
+	now   time.Time
+	last  uint64
+}
+
+// newMesh returns a node with a number of services of 4 upstreams each, the
+// first upstream of the first service being its own.
+func newMesh(tb testing.TB, services, upstreams int, rules ...conf.UpstreamRule) *mesh {
+	tb.Helper()
+	self := fleet.Member{ID: "i0", Zone: "kolkata", Address: "10.0.0.1:1", Incarnation: 1, Started: start.Add(-time.Hour)}
+	ms := &mesh{state: core.New(self, core.WithSeed(1)), now: start}
+	config := conf.Config{Rules: rules}
+	for number := range services {
+		name := fmt.Sprintf("s%d", number)
+		config.Services = append(config.Services, conf.Service{Name: types.ServiceName(name)})
+		config.Routes = append(config.Routes, conf.Route{
+			Name: types.RouteName(name), Service: types.ServiceName(name), Match: conf.Match{PathPrefix: "/" + name},
+			Idempotent: true, Importance: conf.Normal, Deadline: time.Second,
+		})
+	}
+	snapshot, err := conf.NewSnapshot(conf.Root{Version: 1}, "", config, conf.Bundle{})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	ms.step(conf.Offered{Snapshot: snapshot, Version: 1})
+	ms.step(core.RootRead{Epoch: ms.state.Fleet().Epoch(), Version: 1})
+	ms.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
+	message := fleet.Message{From: "i1", Incarnation: 1, Version: 1, Full: true}
+	for number := 1; number < upstreams; number++ {
+		message.Members = append(message.Members, fleet.Member{
+			ID: types.InstanceID(fmt.Sprintf("i%d", number)), Incarnation: 1, Status: fleet.Alive, Zone: "howrah", Held: 1,
+			Address: types.Address(fmt.Sprintf("10.0.1.%d:1", number)), Service: config.Services[number%services].Name,
+			Upstream: types.Some(fleet.Upstream{Slots: 10, Connections: 100}), Started: start.Add(-time.Hour),
+		})
+	}
+	if upstreams > 1 {
+		ms.step(fleet.ExchangeAnswered{Peer: "i1", Address: "10.0.1.1:1", Message: message})
+	}
+	return ms
+}
+
+func (ms *mesh) step(event types.Event) []types.Effect { return ms.state.Step(event, ms.now) }
+
+func (ms *mesh) announce(announcement core.Announcement) []types.Effect {
+	return ms.step(core.UpstreamAnnounced{Announcement: announcement})
+}
+
+func (ms *mesh) work(count int, left time.Duration) []types.Effect {
+	var effects []types.Effect
+	for range count {
+		ms.last++
+		work := admit.Work{ID: types.WorkID(ms.last), Service: "s0", Route: "s0", Importance: conf.Normal, Deadline: ms.now.Add(left)}
+		effects = append(effects, ms.step(admit.Arrived{Work: work})...)
+	}
+	return effects
+}
+
+// tally counts the dispatched, refused and aborted works among effects.
+func tally(effects []types.Effect) (dispatched int, refused []*fault.Error, aborted int) {
+	for _, effect := range effects {
+		switch ef := effect.(type) {
+		case admit.Dispatch:
+			dispatched++
+		case admit.Refuse:
+			refused = append(refused, ef.Err)
+		case admit.Abort:
+			aborted++
+		}
+	}
+	return dispatched, refused, aborted
+}
+
+func checkRefused(check *is.I, effects []types.Effect, count int, kind fault.Kind) {
+	check.Helper()
+	dispatched, refused, aborted := tally(effects)
+	check.Equal(dispatched, 0)
+	check.Equal(aborted, 0)
+	check.Equal(len(refused), count)
+	for _, err := range refused {
+		check.Equal(err.Kind, kind)
+		check.Equal(err.Outcome, fault.NotRun)
+		check.True(err.RetryAfter > 0)
+	}
+}
+
+func TestUpstreamLeaves(t *testing.T) {
+	check := is.New(t)
+	ms := newMesh(t, 1, 2)
+	dispatched, _, _ := tally(ms.work(12, time.Second))
+	check.Equal(dispatched, 10)
+	checkRefused(check, ms.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100, Leaving: true}), 2, fault.Closed)
+	checkRefused(check, ms.work(1, time.Second), 1, fault.Closed)
+	check.Equal(ms.state.Load().Outstanding, 10) // running work goes on
+}
+
+func TestAnnouncementExpires(t *testing.T) {
+	check := is.New(t)
+	ms := newMesh(t, 1, 2)
+	ms.work(12, time.Minute)
+	var effects []types.Effect
+	for range 11 {
+		ms.now = ms.now.Add(time.Second)
+		effects = append(effects, ms.step(core.Tick{})...)
+	}
+	checkRefused(check, effects, 2, fault.NoUpstream)
+	check.Equal(ms.state.Load().Outstanding, 10)
+}
+
+func TestUpstreamChangesService(t *testing.T) {
+	check := is.New(t)
+	ms := newMesh(t, 2, 2)
+	ms.work(12, time.Second)
+	checkRefused(check, ms.announce(core.Announcement{Service: "s1", Slots: 20, Connections: 100}), 2, fault.NoUpstream)
+}
+
+func TestRuleCapsSlots(t *testing.T) {
+	check := is.New(t)
+	ms := newMesh(t, 1, 2, conf.UpstreamRule{Name: "few", Service: "s0", Slots: 8, Connections: 3})
+	dispatched, _, _ := tally(ms.work(5, time.Second))
+	check.Equal(dispatched, 3) // the lower of slots and connections
+}
+
+// TestClosingHour sends work near the closing hour of the only upstreams.
+func TestClosingHour(t *testing.T) {
+	check := is.New(t)
+	hours := conf.Hours{TimeZone: "UTC", Location: time.UTC, Spans: []conf.Span{{From: conf.Clock(9 * time.Hour), To: conf.Clock(11 * time.Hour)}}}
+	ms := newMesh(t, 1, 2, conf.UpstreamRule{Name: "day", Service: "s0", Hours: types.Some(hours)})
+	ms.work(10, time.Minute)
+	ms.now = ms.now.Add(time.Second)
+	for id := 1; id <= 10; id++ {
+		ms.step(admit.Ended{ID: types.WorkID(id), Ran: fault.Ran, Elapsed: time.Second, Whole: true})
+	}
+	ms.now = start.Add(time.Hour - 3*time.Second)
+	ms.step(core.Tick{})
+	ms.step(core.RootRead{Epoch: ms.state.Fleet().Epoch(), Version: 1})
+	ms.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
+	dispatched, _, _ := tally(ms.work(12, time.Minute))
+	check.Equal(dispatched, 10)
+	ms.now = ms.now.Add(2500 * time.Millisecond) // work on the route takes a second
+	checkRefused(check, ms.work(1, time.Minute), 1, fault.Closed)
+	ms.now = ms.now.Add(500 * time.Millisecond)
+	checkRefused(check, ms.step(core.Tick{}), 2, fault.Closed)
+	check.Equal(ms.state.Load().Outstanding, 10) // running work goes on
+	call := flow.CallArrived{Call: 1, Request: "r", Target: route.Request{Method: "GET", Path: "/s0"}}
+	for _, effect := range ms.step(call) {
+		_, started := effect.(flow.StartAttempt)
+		check.True(!started) // no upstream is open
+	}
+}
+
+// BenchmarkCall measures a call from its arrival to its answer, at the entry
+// and at the owner.
+func BenchmarkCall(b *testing.B) {
+	for _, upstreams := range []int{17, 200, 910} {
+		b.Run(fmt.Sprintf("upstreams-%d", upstreams), func(b *testing.B) {
+			ms := newMesh(b, min(140, upstreams/4), upstreams)
+			id := uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				ms.now = ms.now.Add(100 * time.Microsecond)
+				call := types.CallID(id)
+				ms.step(flow.CallArrived{Call: call, Request: "r", Target: route.Request{Method: "GET", Path: "/s0/7"}})
+				ms.work(1, time.Second)
+				ms.step(admit.Ended{ID: types.WorkID(ms.last), Ran: fault.Ran, Elapsed: time.Millisecond, Whole: true})
+				ms.step(flow.AttemptEnded{Call: call, Attempt: 1, Verdict: flow.Answered, Elapsed: time.Millisecond})
+				if id%10_000 == 0 {
+					ms.step(core.Tick{})
+					ms.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
+				}
+			}
+		})
+	}
+}
--- a/core/state.go
+++ b/core/state.go
@@ -23,8 +23,11 @@
 	calls    *flow.Table
 	keys     keys
 	upstream local
-	policies Policies
-	lastTick time.Time
+	openings openings
+	// candidates is reused by each choice of an upstream.
+	candidates []route.Candidate
+	policies   Policies
+	lastTick   time.Time
 	// current is the version of the platform's root when it was last read.
 	current  types.Version
 	watching bool
