Measure the balance together with the gates of the owners

Cause: unforeseen stragglers and refusals meet the balance and the gates together; each alone tells too little.

Change: the experiments of the balance can put a gate before each upstream and try refused calls elsewhere.

--- a/route/farm_test.go
+++ b/route/farm_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"sequoiamill.example/sequoiamill/admit"
+	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/fakes"
 	"sequoiamill.example/sequoiamill/route"
 	"sequoiamill.example/sequoiamill/types"
@@ -34,6 +36,8 @@
 	// late is how old the reported loads are.
 	late   time.Duration
 	policy func() route.Policy
+	// gates puts a gate before each upstream, as its owner does.
+	gates bool
 
 	time    *fakes.Virtual
 	source  *rand.Rand
@@ -42,6 +46,9 @@
 	past    [farmUpstreams][]route.Load
 	short   []time.Duration
 	slowed  int
+	owners  [farmUpstreams]*owner
+	lost    int
+	tries   int
 }
 
 func (fm *farm) run() *farm {
@@ -53,6 +60,11 @@
 			ID: types.InstanceID(fmt.Sprintf("u%d", at)), SameZone: true, Slots: farmSlots,
 		})
 	}
+	if fm.gates {
+		for at := range fm.owners {
+			fm.owners[at] = newOwner(fm, at)
+		}
+	}
 	for entry := range fm.entries {
 		balance := route.NewBalance(fm.policy(), route.WithSeed(uint64(entry)))
 		fm.arrive(balance, candidates)
@@ -67,6 +79,9 @@
 func (fm *farm) note() {
 	for at := range fm.past {
 		load := route.Load{Outstanding: fm.serving[at], Queued: len(fm.queues[at])}
+		if fm.gates {
+			load.Queued = fm.owners[at].gate.Queued()
+		}
 		fm.past[at] = append(fm.past[at], load)
 	}
 	fm.time.After(time.Millisecond, fm.note)
@@ -95,18 +110,88 @@
 	if long && fm.ownRoute {
 		name = "long"
 	}
-	start := fm.time.Now()
-	target, _ := balance.Pick(name, candidates, start)
-	balance.Began(target, start)
+	fm.attempt(&call{balance: balance, left: candidates, name: name, work: work, long: long, start: fm.time.Now()})
+}
+
+// call is one request with the upstreams that it was not sent to.
+type call struct {
+	balance *route.Balance
+	left    []route.Candidate
+	name    types.RouteName
+	work    time.Duration
+	long    bool
+	start   time.Time
+}
+
+func (fm *farm) attempt(cl *call) {
+	began := fm.time.Now()
+	target, ok := cl.balance.Pick(cl.name, cl.left, began)
+	if !ok {
+		fm.lost++
+		return
+	}
+	fm.tries++
+	cl.balance.Began(target, began)
 	at := int(target.ID[1] - '0')
-	fm.serve(at, work, func() {
+	end := func(refused bool) {
 		now := fm.time.Now()
-		elapsed := now.Sub(start)
-		balance.Ended(route.Sample{ID: target.ID, Route: name, Elapsed: elapsed, Load: fm.report(at)}, now)
-		if !long {
-			fm.short = append(fm.short, elapsed)
+		sample := route.Sample{ID: target.ID, Route: cl.name, Elapsed: now.Sub(began), Load: fm.report(at), Refused: refused}
+		cl.balance.Ended(sample, now)
+		switch {
+		case refused:
+			cl.left = slices.DeleteFunc(slices.Clone(cl.left), func(c route.Candidate) bool { return c.ID == target.ID })
+			fm.attempt(cl)
+		case !cl.long:
+			fm.short = append(fm.short, now.Sub(cl.start))
 		}
-	})
+	}
+	if fm.gates {
+		fm.owners[at].arrive(cl, end)
+		return
+	}
+	fm.serve(at, cl.work, func() { end(false) })
+}
+
+// owner is a gate with the calls that it holds.
+type owner struct {
+	farm *farm
+	at   int
+	gate *admit.Gate
+	last types.WorkID
+	ends map[types.WorkID]func(refused bool)
+	work map[types.WorkID]time.Duration
+}
+
+func newOwner(fm *farm, at int) *owner {
+	ow := &owner{
+		farm: fm, at: at, gate: admit.NewGate(),
+		ends: map[types.WorkID]func(bool){}, work: map[types.WorkID]time.Duration{},
+	}
+	ow.gate.SetSlots(farmSlots, fm.time.Now())
+	return ow
+}
+
+func (ow *owner) arrive(cl *call, end func(refused bool)) {
+	ow.last++
+	ow.ends[ow.last], ow.work[ow.last] = end, cl.work
+	work := admit.Work{ID: ow.last, Route: cl.name, Importance: conf.Normal, Deadline: cl.start.Add(longFactor * time.Second)}
+	ow.apply(ow.gate.Arrive(work, ow.farm.time.Now()))
+}
+
+func (ow *owner) apply(effects []types.Effect) {
+	fm := ow.farm
+	for _, effect := range effects {
+		switch ef := effect.(type) {
+		case admit.Dispatch:
+			began := fm.time.Now()
+			fm.serve(ow.at, ow.work[ef.Work.ID], func() {
+				ow.ends[ef.Work.ID](false)
+				ow.apply(ow.gate.End(ef.Work.ID, fm.time.Now().Sub(began), fm.time.Now()))
+			})
+		case admit.Refuse:
+			ow.ends[ef.Work.ID](true)
+		}
+	}
 }
 
 func (fm *farm) serve(at int, work time.Duration, done func()) {
@@ -164,42 +249,50 @@
 	const rate = 0.5 * farmUpstreams * farmSlots * float64(time.Second) / float64(farmWork)
 	for _, entries := range []int{1, 20, 100} {
 		for _, late := range []time.Duration{0, 500 * time.Millisecond} {
-			for _, known := range policies {
-				b.Run(fmt.Sprintf("entries-%d/late-%s/%s", entries, late, known.name), func(b *testing.B) {
-					var healthy, slowed *farm
-					for b.Loop() {
-						healthy = (&farm{entries: entries, rate: rate, late: late, policy: known.policy}).run()
-						slowed = (&farm{entries: entries, rate: rate, late: late, policy: known.policy, spells: true}).run()
-					}
-					b.ReportMetric(0, "ns/op")
-					b.ReportMetric(milliseconds(healthy.p99()), "healthy-p99-ms")
-					b.ReportMetric(milliseconds(slowed.p99()), "slowed-p99-ms")
-					b.ReportMetric(float64(slowed.p99())/float64(healthy.p99()), "ratio")
-					b.ReportMetric(100*float64(slowed.slowed)/float64(len(slowed.short)), "slowed-%")
-				})
+			for _, gates := range []bool{false, true} {
+				for _, known := range policies {
+					base := farm{entries: entries, rate: rate, late: late, policy: known.policy, gates: gates}
+					name := fmt.Sprintf("entries-%d/late-%s/gates-%t/%s", entries, late, gates, known.name)
+					b.Run(name, func(b *testing.B) { compareSlowed(b, base) })
+				}
 			}
 		}
 	}
 }
 
+func compareSlowed(b *testing.B, base farm) {
+	var healthy, slowed *farm
+	for b.Loop() {
+		first, second := base, base
+		second.spells = true
+		healthy, slowed = first.run(), second.run()
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(milliseconds(healthy.p99()), "healthy-p99-ms")
+	b.ReportMetric(milliseconds(slowed.p99()), "slowed-p99-ms")
+	b.ReportMetric(float64(slowed.p99())/float64(healthy.p99()), "ratio")
+	b.ReportMetric(100*float64(slowed.slowed)/float64(len(slowed.short)), "slowed-%")
+	b.ReportMetric(100*float64(slowed.lost)/float64(len(slowed.short)), "lost-%")
+}
+
 // BenchmarkLong measures the tail of short work while 2% of the work is long,
 // against the same without long work.
 func BenchmarkLong(b *testing.B) {
 	const rate = 0.2 * farmUpstreams * farmSlots * float64(time.Second) / float64(farmWork)
 	const share = 0.02
-	for _, ownRoute := range []bool{false, true} {
-		for _, known := range policies {
-			b.Run(fmt.Sprintf("own-route-%t/%s", ownRoute, known.name), func(b *testing.B) {
-				var without, with *farm
-				for b.Loop() {
-					without = (&farm{entries: 20, rate: rate, policy: known.policy}).run()
-					with = (&farm{entries: 20, rate: rate, policy: known.policy, long: share, ownRoute: ownRoute}).run()
-				}
-				b.ReportMetric(0, "ns/op")
-				b.ReportMetric(milliseconds(without.p99()), "without-p99-ms")
-				b.ReportMetric(milliseconds(with.p99()), "with-p99-ms")
-				b.ReportMetric(float64(with.p99())/float64(without.p99()), "ratio")
-			})
-		}
+	for at := range 4 * len(policies) {
+		known, ownRoute, gates := policies[at/4], at%2 == 0, at/2%2 == 0
+		b.Run(fmt.Sprintf("own-route-%t/gates-%t/%s", ownRoute, gates, known.name), func(b *testing.B) {
+			var without, with *farm
+			for b.Loop() {
+				without = (&farm{entries: 20, rate: rate, policy: known.policy, gates: gates}).run()
+				with = (&farm{entries: 20, rate: rate, policy: known.policy, gates: gates, long: share, ownRoute: ownRoute}).run()
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(milliseconds(without.p99()), "without-p99-ms")
+			b.ReportMetric(milliseconds(with.p99()), "with-p99-ms")
+			b.ReportMetric(float64(with.p99())/float64(without.p99()), "ratio")
+			b.ReportMetric(100*float64(with.lost)/float64(len(with.short)), "lost-%")
+		})
 	}
 }
