--- a/bench/tail.go
+++ b/bench/tail.go
@@ -9,7 +9,7 @@
 	shortWork      = 20 * time.Millisecond
 	longFactor     = 100
 	longShare      = 0.02
-	stragglerLoad  = 0.55
+	stragglerLoad  = 0.7
 	slowedLoad     = 0.4
 	slowdown       = 10
 	short          = "short"
@@ -49,12 +49,13 @@
 		if err != nil {
 			return err
 		}
-		load.Classes, load.Rate, load.Length = layout.split(longShare), Steady(rate), 2*load.Length
+		load.Classes, load.Rate, load.Length = layout.split(longShare), Steady(rate), load.Length+longFactor*shortWork+time.Second
 		with, err := ft.offer(ctx, load)
 		if err != nil {
 			return err
 		}
-		shorts, longs := with.Class(short), with.Class(long)
+		filled := with.Between(longFactor*shortWork, load.Length)
+		shorts, longs := filled.Class(short), filled.Class(long)
 		sh.add(ft.Variant, "short p99 without long work", "ms", alone.Millis(tailPercent))
 		sh.add(ft.Variant, "short p99 with long work", "ms", shorts.Millis(tailPercent))
 		sh.add(ft.Variant, "short p99, with over without", "ratio", shorts.Millis(tailPercent)/alone.Millis(tailPercent))
