Serve nodes, callers and operators over mutual TLS

Cause: any process that reached a port could act as a node, a caller or an operator.

Change: a keeper of certificate, key and authority from files or from PEM in the environment, read again every 5 s; material that does not fit together leaves the one before in place. Each side is TLS unless plain-text names it. A node's certificate must hold node.sequoiamill, an operator's operator.sequoiamill. Only the instance of the node may announce an upstream.

Ruled out: names of instances in certificates, since an instance may be replaced at any time and a role is all that is checked.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -163,6 +163,7 @@
 		"--peer-listen", instance.Peer,
 		"--admin-listen", instance.Admin,
 		"--advertise", instance.PeerAddress(),
+		"--plain-text", "callers,peers,operators",
 		"--stop-limit", "5s",
 	}
 	for range 2 {
--- /dev/null
+++ b/certs/config.go
@@ -0,0 +1,78 @@
+package certs
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	dialTimeout   = time.Second
+	keepAliveTime = 5 * time.Second
+)
+
+// Server returns the settings of a listener. A client's certificate must hold
+// one of the names; without names any certificate of the authority will do.
+func (kp *Keeper) Server(auth tls.ClientAuthType, names ...string) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			now := kp.held.Load()
+			return &tls.Config{
+				MinVersion:       tls.VersionTLS13,
+				Certificates:     []tls.Certificate{now.cert},
+				ClientCAs:        now.authority,
+				ClientAuth:       auth,
+				NextProtos:       []string{"http/1.1"},
+				VerifyConnection: func(state tls.ConnectionState) error { return checkNames(state, names) },
+			}, nil
+		},
+	}
+}
+
+// HasName reports whether the other end proved that it holds one of the names.
+func HasName(state *tls.ConnectionState, names ...string) bool {
+	return state != nil && len(state.VerifiedChains) > 0 && holdsName(state.PeerCertificates[0], names)
+}
+
+func checkNames(state tls.ConnectionState, names []string) error {
+	if len(names) == 0 || len(state.PeerCertificates) == 0 {
+		return nil
+	}
+	if !holdsName(state.PeerCertificates[0], names) {
+		return errors.Errorf("the certificate holds none of the names %v", names)
+	}
+	return nil
+}
+
+func holdsName(cert *x509.Certificate, names []string) bool {
+	for _, name := range names {
+		if cert.VerifyHostname(name) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Dial returns a dialer of connections to servers whose certificate holds a
+// name.
+func (kp *Keeper) Dial(name string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		now := kp.held.Load()
+		dialer := &tls.Dialer{
+			NetDialer: &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveTime},
+			Config: &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{now.cert},
+				RootCAs:      now.authority,
+				ServerName:   name,
+				NextProtos:   []string{"http/1.1"},
+			},
+		}
+		return dialer.DialContext(ctx, network, address)
+	}
+}
--- a/codec/fault.go
+++ b/codec/fault.go
@@ -28,6 +28,10 @@
 
 // FaultFromRPC decodes an RPC error. An error without a kind is Unreachable.
 func FaultFromRPC(err error) *fault.Error {
+	var known *fault.Error
+	if errors.As(err, &known) {
+		return known
+	}
 	var wire *connect.Error
 	if !errors.As(err, &wire) {
 		return fault.From(err)
@@ -36,7 +40,7 @@
 	if !ok {
 		return fault.New(fault.Unreachable, "%s", wire.Message())
 	}
-	known := fault.New(kind, "%s", wire.Message())
+	known = fault.New(kind, "%s", wire.Message())
 	if millis, err := strconv.ParseInt(wire.Meta().Get(retryAfterHeader), 10, 64); err == nil {
 		known = known.WithRetryAfter(time.Duration(millis) * time.Millisecond)
 	}
--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -76,6 +76,7 @@
 		Seed:        seed,
 		Keys:        flow.KeyLimits{Margin: keyMargin, Retention: keyRetention},
 		Policies:    core.DefaultPolicies(),
+		PlainText:   node.AllPlainText(),
 	}, store)
 	if err != nil {
 		return err
--- a/node/handler.go
+++ b/node/handler.go
@@ -56,7 +56,7 @@
 }
 
 func (nd *Node) collect(ctx context.Context, address types.Address, request *opsv1.TimelineRequest) ([]trace.Entry, error) {
-	client := opsv1connect.NewOperatorClient(http.DefaultClient, "http://"+string(address))
+	client := opsv1connect.NewOperatorClient(nd.collector, "http://"+string(address))
 	response, err := client.Timeline(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil, codec.FaultFromRPC(err)
@@ -72,7 +72,7 @@
 	router := echo.New()
 	router.HideBanner = true
 	path, handler := nd.operatorHandler()
-	router.Any(path+"*", echo.WrapHandler(handler))
+	router.Any(path+"*", echo.WrapHandler(nd.forOperators(handler)))
 	router.GET("/healthz", func(ctx echo.Context) error { return ctx.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", nd.serveReady)
 	router.GET("/metrics", nd.serveMetrics)
@@ -106,6 +106,9 @@
 }
 
 func (nd *Node) serveAnnounce(ctx echo.Context) error {
+	if !fromInstance(ctx.Request()) {
+		return answerFault(ctx, fault.New(fault.InvalidInput, "announcement: only the upstream on the node's own instance may announce itself"))
+	}
 	var wire AnnouncementWire
 	if err := ctx.Bind(&wire); err != nil {
 		return answerFault(ctx, fault.Wrap(fault.InvalidInput, err, "decode announcement"))
--- a/node/node.go
+++ b/node/node.go
@@ -39,15 +39,17 @@
 	now      func() time.Time
 	options  []core.Option
 
-	clock   *trace.Clock
-	ring    *trace.Ring
-	meters  *meters
-	loop    *loop
-	owner   *proxy.Owner
-	entry   *proxy.Entry
-	peers   *peer.Client
-	waiters waiters
-	drained chan struct{}
+	clock  *trace.Clock
+	ring   *trace.Ring
+	meters *meters
+	loop   *loop
+	owner  *proxy.Owner
+	entry  *proxy.Entry
+	peers  *peer.Client
+	// collector fetches the events of other nodes.
+	collector *http.Client
+	waiters   waiters
+	drained   chan struct{}
 	// stopping states that every connection is to be closed by its answer.
 	stopping atomic.Bool
 	life     context.Context
@@ -141,10 +143,11 @@
 	}
 	options = append(options, nd.options...)
 	nd.loop = &loop{state: core.New(self, options...), now: nd.now, run: nd.run}
-	nd.peers = peer.NewClient(nd.clock, nd.now, peer.WithMeter(nd.meters.control), peer.WithInstance(nd.settings.Instance))
+	nd.collector = &http.Client{Transport: &http.Transport{DialContext: nd.peerDialer()}}
+	nd.peers = peer.NewClient(nd.clock, nd.now, peer.WithMeter(nd.meters.control), peer.WithInstance(nd.settings.Instance), peer.WithDialer(nd.peerDialer()))
 	nd.owner = proxy.NewOwner(nd.loop.post, nd.load, nd.now,
 		proxy.WithMaxBody(nd.settings.MaxBody), proxy.WithMeters(nd.meters.residence()))
-	forward := proxy.NewForwarder(nd.now, nd.settings.MaxBody)
+	forward := proxy.NewForwarder(nd.now, nd.settings.MaxBody, proxy.WithDialer(nd.peerDialer()))
 	nd.entry = proxy.NewEntry(nd.settings.Instance, nd.loop.post, nd.owner, forward, nd.now)
 }
 
@@ -179,11 +182,12 @@
 	nd.life = life
 	nd.event(trace.Event{Kind: trace.NodeStarted, Subject: nd.settings.Instance})
 	var group run.Group
-	nd.addServer(&group, nd.callerListener, nd.closing(nd.entry))
-	nd.addServer(&group, nd.peerListener, nd.closing(nd.peerHandler()))
-	nd.addServer(&group, nd.adminListener, nd.adminHandler())
+	nd.addServer(&group, nd.secure(nd.callerListener, Callers), nd.closing(nd.entry))
+	nd.addServer(&group, nd.secure(nd.peerListener, Peers), nd.closing(nd.peerHandler()))
+	nd.addServer(&group, nd.secure(nd.adminListener, Operators), nd.adminHandler())
 	addTask(life, &group, nd.tick)
 	addTask(life, &group, nd.join)
+	addTask(life, &group, nd.reload)
 	addTask(life, &group, func(life context.Context) error { return nd.awaitStop(ctx, life) })
 	return group.Run()
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"sequoiamill.example/sequoiamill/certs"
 	"sequoiamill.example/sequoiamill/core"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/flow"
@@ -43,6 +44,10 @@
 	Keys     flow.KeyLimits
 	Seed     uint64
 	Policies core.Policies
+	// PlainText names the sides that are served without TLS.
+	PlainText types.Set[Side]
+	// Certs is the material for all other sides.
+	Certs *certs.Keeper
 }
 
 // Validate returns one error that names each fault of the settings.
@@ -75,6 +80,7 @@
 	if s.Keys.Retention <= s.Keys.Margin {
 		faults = append(faults, "key-retention must be above key-margin")
 	}
+	faults = append(faults, s.secureFaults()...)
 	if err := s.Policies.Validate(); err != nil {
 		faults = append(faults, fault.From(err).Message)
 	}
--- a/peer/meter.go
+++ b/peer/meter.go
@@ -40,13 +40,18 @@
 	return count, err
 }
 
-func (m Meter) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+// Dialer opens a connection to a peer.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialer counts the bytes of the connections that dial opens.
+func (m Meter) dialer(dial Dialer) Dialer {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return meteredConn{Conn: conn, meter: m}, nil
 	}
-	return meteredConn{Conn: conn, meter: m}, nil
 }
 
 // handler counts the bytes of the requests that a handler serves and of its
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -95,11 +96,12 @@
 
 // Client calls peers.
 type Client struct {
-	http      *http.Client
-	transport *http.Transport
-	clock     *trace.Clock
-	now       func() time.Time
-	instance  types.InstanceID
+	http     *http.Client
+	dialer   Dialer
+	meter    Meter
+	clock    *trace.Clock
+	now      func() time.Time
+	instance types.InstanceID
 }
 
 // Option changes a setting of a client.
@@ -107,7 +109,12 @@
 
 // WithMeter counts the bytes of the client's messages.
 func WithMeter(meter Meter) Option {
-	return func(cl *Client) { cl.transport.DialContext = meter.dial }
+	return func(cl *Client) { cl.meter = meter }
+}
+
+// WithDialer sets how connections are opened.
+func WithDialer(dial Dialer) Option {
+	return func(cl *Client) { cl.dialer = dial }
 }
 
 // WithInstance names the calling instance on each request.
@@ -117,11 +124,19 @@
 
 // NewClient returns a client whose messages carry a clock.
 func NewClient(clock *trace.Clock, now func() time.Time, opts ...Option) *Client {
-	transport := &http.Transport{MaxIdleConns: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}
-	cl := &Client{http: &http.Client{Transport: transport}, transport: transport, clock: clock, now: now}
+	cl := &Client{dialer: (&net.Dialer{}).DialContext, clock: clock, now: now}
 	for _, opt := range opts {
 		opt(cl)
 	}
+	if cl.meter != nil {
+		cl.dialer = cl.meter.dialer(cl.dialer)
+	}
+	cl.http = &http.Client{Transport: &http.Transport{
+		DialContext:        cl.dialer,
+		MaxIdleConns:       idleConnections,
+		IdleConnTimeout:    idleTimeout,
+		DisableCompression: true,
+	}}
 	return cl
 }
 
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -29,8 +29,16 @@
 	maxBody int64
 }
 
+// ForwarderOption changes a setting of a forwarder.
+type ForwarderOption func(*http.Transport)
+
+// WithDialer sets how connections to other nodes are opened.
+func WithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) ForwarderOption {
+	return func(tr *http.Transport) { tr.DialContext = dial }
+}
+
 // NewForwarder returns a forwarder for answers of at most maxBody bytes.
-func NewForwarder(now func() time.Time, maxBody int64) *Forwarder {
+func NewForwarder(now func() time.Time, maxBody int64, opts ...ForwarderOption) *Forwarder {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: forwardKeepAliveTime}
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
@@ -38,6 +46,9 @@
 		IdleConnTimeout:     forwardIdleTimeout,
 		DisableCompression:  true,
 	}
+	for _, opt := range opts {
+		opt(transport)
+	}
 	return &Forwarder{client: &http.Client{Transport: transport, CheckRedirect: noRedirect}, now: now, maxBody: maxBody}
 }
 
--- a/script/script_test.go
+++ b/script/script_test.go
@@ -29,6 +29,8 @@
 		"upstream":    upstream,
 		"load":        load,
 		"callers":     callers,
+		"keys":        keys,
+		"get-tls":     getTLS,
 		"get":         get,
 		"eventually":  eventually,
 		"link":        link,
@@ -64,6 +66,7 @@
 // that do not linger at the end of the scenario.
 func setup(env *testscript.Env) error {
 	env.Setenv("SEQUOIAMILL_STOP_LINGER", "300ms")
+	env.Setenv("SEQUOIAMILL_PLAIN_TEXT", "callers,peers,operators")
 	const ports = 20
 	var listeners []net.Listener
 	for number := range ports {
--- a/trace/event.go
+++ b/trace/event.go
@@ -40,6 +40,8 @@
 	NodeRejoined
 	InstanceDuplicated
 	RecordRemoved
+	CertsReloaded
+	CertsRefused
 	kindCount
 )
 
@@ -63,6 +65,8 @@
 	NodeRejoined:       "node-rejoined",
 	InstanceDuplicated: "instance-duplicated",
 	RecordRemoved:      "record-removed",
+	CertsReloaded:      "certs-reloaded",
+	CertsRefused:       "certs-refused",
 }
 
 // String returns the kebab-case name of the kind.
--- a/verbs/node.go
+++ b/verbs/node.go
@@ -17,6 +17,7 @@
 )
 
 type nodeCmd struct {
+	tlsFlags
 	Instance     string        `help:"Name of this instance." required:""`
 	Zone         string        `help:"Availability zone of this instance." required:""`
 	Region       string        `help:"Region of this instance." default:"default"`
@@ -39,7 +40,11 @@
 	Hedge        bool          `help:"Allow second attempts on routes that ask for them." default:"true" negatable:""`
 }
 
-func (c *nodeCmd) settings() node.Settings {
+func (c *nodeCmd) settings() (node.Settings, error) {
+	keeper, err := c.keeper()
+	if err != nil {
+		return node.Settings{}, err
+	}
 	seed := c.Seed
 	if seed == 0 {
 		seed = uint64(os.Getpid())
@@ -57,6 +62,8 @@
 		StopLimit:   c.StopLimit,
 		Keys:        flow.KeyLimits{Margin: c.KeyMargin, Retention: c.KeyRetention},
 		Seed:        seed,
+		PlainText:   c.plainText(),
+		Certs:       keeper,
 		Policies: core.Policies{
 			Balance: core.BalanceKind(c.Balance),
 			Queue:   core.QueueKind(c.Queue),
@@ -67,7 +74,7 @@
 	for _, peer := range c.Peer {
 		settings.Peers = append(settings.Peers, types.Address(peer))
 	}
-	return settings
+	return settings, nil
 }
 
 // Run serves until the process is told to stop.
@@ -75,7 +82,11 @@
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(out.err))
 	logger = log.With(logger, "time", log.DefaultTimestampUTC, "instance", c.Instance)
 	store := plat.NewHTTP(c.Platform, plat.WithNamespace(c.Namespace))
-	nd, err := node.New(c.settings(), store, node.WithLogger(logger))
+	settings, err := c.settings()
+	if err != nil {
+		return err
+	}
+	nd, err := node.New(settings, store, node.WithLogger(logger))
 	if err != nil {
 		return err
 	}
--- a/verbs/status.go
+++ b/verbs/status.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"text/tabwriter"
 	"time"
 
@@ -19,6 +18,7 @@
 )
 
 type connection struct {
+	tlsFlags
 	Admin string `help:"Operator address of any node." default:"127.0.0.1:8082"`
 }
 
@@ -40,7 +40,7 @@
 }
 
 func (c *connection) client() opsv1connect.OperatorClient {
-	return opsv1connect.NewOperatorClient(http.DefaultClient, "http://"+c.Admin)
+	return opsv1connect.NewOperatorClient(c.httpClient(), "http://"+c.Admin)
 }
 
 type statusCmd struct {
