Learn from work that was aborted late

Cause: work that always outlasts its deadline was aborted and never learned, so its route kept the default duration.

Change: an aborted work that ran past its route's usual time counts as a sample; one aborted before counts not. The choice of the gate by its name is tested.

Ruled out: counting every aborted work, which makes routes look short when callers hang up early.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -141,7 +141,7 @@
 		return nil
 	}
 	delete(gt.running, id)
-	if !ended.aborted {
+	if !ended.aborted || elapsed > ended.expected {
 		gt.learn(ended, elapsed, now)
 	}
 	return gt.drain(now)
--- a/core/policy_test.go
+++ b/core/policy_test.go
@@ -21,9 +21,10 @@
 
 // mesh is one node that has joined and holds a configuration.
 type mesh struct {
-	state *core.State
-	now   time.Time
-	last  uint64
+	state    *core.State
+	snapshot conf.Snapshot
+	now      time.Time
+	last     uint64
 }
 
 // newMesh returns a node with a number of services of 4 upstreams each, the
@@ -45,6 +46,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
+	ms.snapshot = snapshot
 	ms.step(conf.Offered{Snapshot: snapshot, Version: 1})
 	ms.step(core.RootRead{Epoch: ms.state.Fleet().Epoch(), Version: 1})
 	ms.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
@@ -171,6 +173,27 @@
 	}
 }
 
+func TestQueueKinds(t *testing.T) {
+	for kind, want := range map[core.QueueKind]int{core.QueueShed: 10, core.QueueFIFO: 10, core.QueueNone: 40} {
+		t.Run(string(kind), func(t *testing.T) {
+			check := is.New(t)
+			policies := core.DefaultPolicies()
+			policies.Queue = kind
+			check.NoErr(policies.Validate())
+			ms := newMesh(t, 1, 2)
+			ms.state = core.New(ms.state.Fleet().Self(), core.WithPolicies(policies))
+			ms.step(conf.Offered{Snapshot: ms.snapshot, Version: 1})
+			ms.step(core.RootRead{Epoch: ms.state.Fleet().Epoch(), Version: 1})
+			ms.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
+			dispatched, refused, _ := tally(ms.work(40, time.Second))
+			check.Equal(dispatched, want)
+			check.Equal(len(refused) > 0, kind == core.QueueShed)
+		})
+	}
+	check := is.New(t)
+	check.True(core.Policies{Balance: "best", Queue: core.QueueShed, Spread: core.SpreadWatch}.Validate() != nil)
+}
+
 // BenchmarkCall measures a call from its arrival to its answer, at the entry
 // and at the owner.
 func BenchmarkCall(b *testing.B) {
