Leave runs without a value out of the spread

Cause: a percentile without any call was printed as 0 ms, as if all refusals of the baseline had come at once. Change: it is not-a-number, and medians, spreads and charts leave it out.

--- a/bench/caller.go
+++ b/bench/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -241,8 +242,12 @@
 	return float64(len(oc.With(ending).Results)) / float64(len(oc.Results))
 }
 
-// Millis returns a percentile of the latencies in milliseconds.
+// Millis returns a percentile of the latencies in milliseconds, or not-a-number
+// without any calls.
 func (oc Outcome) Millis(percentile float64) float64 {
+	if len(oc.Results) == 0 {
+		return math.NaN()
+	}
 	histogram := hdrhistogram.New(1, longestCall.Microseconds(), digits)
 	for _, result := range oc.Results {
 		_ = histogram.RecordValue(min(max(result.Latency.Microseconds(), 1), longestCall.Microseconds()))
--- a/bench/plot.go
+++ b/bench/plot.go
@@ -37,8 +37,8 @@
 func barScale(figures []Figure) float64 {
 	greatest := 0.0
 	for _, figure := range figures {
-		if len(figure.Runs) > 0 {
-			greatest = math.Max(greatest, slices.Max(figure.Runs))
+		if values := measured(figure.Runs); len(values) > 0 {
+			greatest = math.Max(greatest, slices.Max(values))
 		}
 	}
 	if greatest == 0 {
@@ -55,7 +55,7 @@
 		return
 	}
 	_, _ = fmt.Fprintf(out, `<rect x="%d" y="%d" width="%.1f" height="%d" fill="#5b8db8"/>`+"\n", labelWidth, top, math.Max(0, median*scale), barHeight)
-	least, greatest := slices.Min(figure.Runs), slices.Max(figure.Runs)
+	least, greatest := slices.Min(measured(figure.Runs)), slices.Max(measured(figure.Runs))
 	_, _ = fmt.Fprintf(out, `<line x1="%.1f" x2="%.1f" y1="%d" y2="%d" stroke="black"/>`+"\n",
 		labelWidth+least*scale, labelWidth+greatest*scale, middle, middle)
 	_, _ = fmt.Fprintf(out, `<text x="%.1f" y="%d">%s</text>`+"\n", labelWidth+greatest*scale+6, middle+4, number(median))
--- a/bench/stats.go
+++ b/bench/stats.go
@@ -61,14 +61,22 @@
 
 // Spread returns the least and the greatest run.
 func (f Figure) Spread() string {
-	if len(f.Runs) == 0 {
+	values := measured(f.Runs)
+	if len(values) == 0 {
 		return ""
 	}
-	return number(slices.Min(f.Runs)) + " … " + number(slices.Max(f.Runs))
+	return number(slices.Min(values)) + " … " + number(slices.Max(values))
+}
+
+// measured returns the values that are numbers.
+func measured(values []float64) []float64 {
+	return slices.DeleteFunc(slices.Clone(values), math.IsNaN)
 }
 
-// Median returns the middle of the values, or not-a-number without any.
+// Median returns the middle of the values that are numbers, or not-a-number
+// without any.
 func Median(values []float64) float64 {
+	values = measured(values)
 	if len(values) == 0 {
 		return math.NaN()
 	}
