--- a/admin/publish.go
+++ b/admin/publish.go
@@ -44,6 +44,7 @@
 type Publisher struct {
 	store *plat.Store
 	held  func() conf.Bundle
+	floor func() types.Version
 	now   func() time.Time
 	// pause waits and reports whether the context still lasts.
 	pause func(ctx context.Context, wait time.Duration) bool
@@ -57,6 +58,12 @@
 	return func(pb *Publisher) { pb.held = held }
 }
 
+// WithFloor sets where the publisher learns the highest version that any node
+// holds. New versions are above it, also if the platform's root went back.
+func WithFloor(floor func() types.Version) Option {
+	return func(pb *Publisher) { pb.floor = floor }
+}
+
 // WithNow sets the source of the present time.
 func WithNow(now func() time.Time) Option {
 	return func(pb *Publisher) { pb.now = now }
@@ -69,7 +76,13 @@
 
 // NewPublisher returns a publisher to a store.
 func NewPublisher(store *plat.Store, opts ...Option) *Publisher {
-	pb := &Publisher{store: store, held: func() conf.Bundle { return conf.Bundle{} }, now: time.Now, pause: pause}
+	pb := &Publisher{
+		store: store,
+		held:  func() conf.Bundle { return conf.Bundle{} },
+		floor: func() types.Version { return 0 },
+		now:   time.Now,
+		pause: pause,
+	}
 	for _, opt := range opts {
 		opt(pb)
 	}
@@ -96,7 +109,7 @@
 	if err != nil {
 		return Accepted{}, err
 	}
-	object, root, err := pb.readRoot(ctx)
+	object, root, err := pb.base(ctx)
 	if err != nil {
 		return Accepted{}, err
 	}
@@ -124,6 +137,20 @@
 	return accepted, err
 }
 
+// base returns the root that a change is based on. A root that can't be read
+// is replaced by the one in force here, if no node holds a later version.
+func (pb *Publisher) base(ctx context.Context) (plat.Object, conf.Root, error) {
+	object, root, err := pb.readRoot(ctx)
+	if !fault.Is(err, fault.ConfigRefused) {
+		return object, root, err
+	}
+	held, heldErr := codec.ReadRoot(pb.held().RootBody)
+	if heldErr != nil || held.Version < pb.floor() {
+		return object, root, err
+	}
+	return object, held, nil
+}
+
 // repeated returns the first result of a change. A change-id that stands for
 // another content is KeyReused.
 func repeated(root conf.Root, id types.ChangeID, content types.Hash) (Accepted, bool, error) {
@@ -151,7 +178,9 @@
 	if err := conf.Validate(config); err != nil {
 		return conf.Bundle{}, nil, err
 	}
-	next := before.root.Next(change.ID, content, slices.Collect(maps.Keys(before.packs)), pb.now())
+	newest := before.root
+	newest.Version = max(newest.Version, pb.floor())
+	next := newest.Next(change.ID, content, slices.Collect(maps.Keys(before.packs)), pb.now())
 	bundle, err := codec.Seal(next, config)
 	if err != nil {
 		return conf.Bundle{}, nil, err
--- a/admin/publish_test.go
+++ b/admin/publish_test.go
@@ -285,6 +285,46 @@
 	}
 }
 
+// TestBadRootIsReplaced publishes over a root that no node takes.
+func TestBadRootIsReplaced(t *testing.T) {
+	tests := []struct {
+		name  string
+		body  string
+		base  types.Version
+		floor types.Version
+		err   string
+	}{
+		{"unreadable", "{", 1, 1, ""},
+		{"unreadable and another node is ahead", "{", 1, 2, "config-refused: decode root: unexpected EOF"},
+		{"went back", `{"version":1,"change-id":"old","packs":null,"entries":null,"recent":null}`, 1, 7, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			bn := newBench()
+			_, err := bn.publisher().Publish(t.Context(), replace("1", 0, "a"))
+			is.NoErr(err)
+			object, err := bn.Get(t.Context(), plat.RootName)
+			is.NoErr(err)
+			_, err = bn.Put(t.Context(), object.WithBody([]byte(test.body)))
+			is.NoErr(err)
+			publisher := admin.NewPublisher(bn.Store,
+				admin.WithHeld(func() conf.Bundle { return conf.Bundle{RootBody: object.Body} }),
+				admin.WithFloor(func() types.Version { return test.floor }))
+			accepted, err := publisher.Publish(t.Context(), replace("2", test.base, "b"))
+			if test.err != "" {
+				is.Equal(err.Error(), test.err)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(accepted.Version, test.floor+1)
+			snap, err := publisher.Read(t.Context())
+			is.NoErr(err)
+			is.Equal(snap.Config(), services("b"))
+		})
+	}
+}
+
 // readable reports whether each pack of a root is stored whole.
 func readable(store *plat.Store, rootBody []byte) error {
 	bundle, err := admin.FetchBundle(context.Background(), store, rootBody, conf.Bundle{})
--- a/admin/server.go
+++ b/admin/server.go
@@ -31,6 +31,15 @@
 	Members []fleet.Member
 }
 
+// Highest returns the highest version that a node is known to hold.
+func (v View) Highest() types.Version {
+	highest := max(v.Version, v.Floor)
+	for _, member := range v.Members {
+		highest = max(highest, member.Held)
+	}
+	return highest
+}
+
 // Service is what the operators' interface needs of its node.
 type Service struct {
 	Publisher *Publisher
--- a/codec/bundle.go
+++ b/codec/bundle.go
@@ -25,9 +25,19 @@
 // Seal encodes a configuration as the bundle of one version. The entries of
 // the given root are replaced by those of the configuration.
 func Seal(root conf.Root, config conf.Config) (conf.Bundle, error) {
-	bundle := conf.Bundle{Bodies: map[types.Hash][]byte{}}
-	root.Entries = nil
-	wire := configToWire(config)
+	entries, bodies, err := resources(config)
+	if err != nil {
+		return conf.Bundle{}, err
+	}
+	root.Entries = entries
+	body, err := writeRoot(root)
+	return conf.Bundle{RootBody: body, Bodies: bodies}, err
+}
+
+// resources encodes the resources of a configuration one by one.
+func resources(config conf.Config) ([]conf.Entry, map[types.Hash][]byte, error) {
+	var entries []conf.Entry
+	bodies := map[types.Hash][]byte{}
 	add := func(kind conf.ResourceKind, name string, item any) error {
 		body, err := json.Marshal(item)
 		if err != nil {
@@ -37,31 +47,27 @@
 			return fault.New(fault.TooLarge, "%s %q has %d bytes of at most %d", kind, name, len(body), MaxObject)
 		}
 		hash := HashOf(body)
-		bundle.Bodies[hash] = body
-		root.Entries = append(root.Entries, conf.Entry{Key: conf.Key{Kind: kind, Name: name}, Hash: hash})
+		bodies[hash] = body
+		entries = append(entries, conf.Entry{Key: conf.Key{Kind: kind, Name: name}, Hash: hash})
 		return nil
 	}
+	wire := configToWire(config)
 	for _, service := range wire.Services {
 		if err := add(conf.ServiceKind, service.Name, service); err != nil {
-			return conf.Bundle{}, err
+			return nil, nil, err
 		}
 	}
 	for _, route := range wire.Routes {
 		if err := add(conf.RouteKind, route.Name, route); err != nil {
-			return conf.Bundle{}, err
+			return nil, nil, err
 		}
 	}
 	for _, rule := range wire.UpstreamRules {
 		if err := add(conf.UpstreamRuleKind, rule.Name, rule); err != nil {
-			return conf.Bundle{}, err
+			return nil, nil, err
 		}
 	}
-	body, err := writeRoot(root)
-	if err != nil {
-		return conf.Bundle{}, err
-	}
-	bundle.RootBody = body
-	return bundle, nil
+	return entries, bodies, nil
 }
 
 // Open checks the hashes of a bundle, decodes it and validates the result.
--- a/codec/change.go
+++ b/codec/change.go
@@ -34,3 +34,16 @@
 	}
 	return HashOf(text), nil
 }
+
+// Diff returns the resources that differ between two configurations.
+func Diff(old, next conf.Config) ([]conf.Difference, error) {
+	before, _, err := resources(old)
+	if err != nil {
+		return nil, err
+	}
+	after, _, err := resources(next)
+	if err != nil {
+		return nil, err
+	}
+	return conf.Diff(before, after), nil
+}
--- a/fakes/calls.go
+++ b/fakes/calls.go
@@ -40,7 +40,7 @@
 	*total++
 	*within++
 	*peak = max(*peak, *within)
-	if limit > 0 && *within > limit {
+	if limit != 0 && *within > limit {
 		cm.counts.Limited++
 		return true
 	}
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -36,7 +36,7 @@
 	// ExpireWatches is the number of watches whose revision is called expired.
 	ExpireWatches int `json:"expire-watches"`
 	// ReadLimit and WriteLimit are the calls allowed in one second; 0 means
-	// no limit.
+	// no limit and a negative number none.
 	ReadLimit  int64 `json:"read-limit"`
 	WriteLimit int64 `json:"write-limit"`
 }
--- a/node/handler.go
+++ b/node/handler.go
@@ -37,7 +37,7 @@
 
 func (nd *Node) operatorHandler() (string, http.Handler) {
 	return admin.NewHandler(admin.Service{
-		Publisher: admin.NewPublisher(nd.store, admin.WithHeld(nd.bundle)),
+		Publisher: nd.publisher(),
 		View:      nd.view,
 		Published: nd.published,
 		Timeline:  nd.ring.Select,
@@ -45,6 +45,11 @@
 	})
 }
 
+func (nd *Node) publisher() *admin.Publisher {
+	floor := func() types.Version { return nd.view().Highest() }
+	return admin.NewPublisher(nd.store, admin.WithHeld(nd.bundle), admin.WithFloor(floor))
+}
+
 // published reads the root at once, so that the news spreads from here too.
 func (nd *Node) published(version types.Version) {
 	nd.event(trace.Event{Kind: trace.ConfigPublished, Version: version, Subject: nd.settings.Instance})
--- a/script/script_test.go
+++ b/script/script_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -32,6 +33,7 @@
 		"keys":        keys,
 		"get-tls":     getTLS,
 		"get":         get,
+		"post":        post,
 		"eventually":  eventually,
 		"link":        link,
 	})
@@ -124,6 +126,22 @@
 	fmt.Printf("%s\n%s\n", response.Status, body)
 }
 
+// post sends a file, padded with spaces to a size.
+func post() {
+	size := flag.Int("size", 0, "least size of the body")
+	flag.Parse()
+	body, err := os.ReadFile(flag.Arg(1))
+	if err != nil {
+		fail("%v", err)
+	}
+	padding := strings.Repeat(" ", max(0, *size-len(body)))
+	response, err := http.Post(flag.Arg(0), "application/json", strings.NewReader(string(body)+padding))
+	if err != nil || response.StatusCode != http.StatusOK {
+		fail("%v %v", response, err)
+	}
+	_ = response.Body.Close()
+}
+
 // eventually repeats a command line until its output holds a text.
 func eventually() {
 	want, args := os.Args[1], os.Args[2:]
--- a/verbs/main.go
+++ b/verbs/main.go
@@ -67,5 +67,8 @@
 func report(errs io.Writer, err error) int {
 	known := fault.From(err)
 	_, _ = fmt.Fprintf(errs, "sequoiamill: %v\n", known)
+	if known.RetryAfter > 0 {
+		_, _ = fmt.Fprintf(errs, "sequoiamill: retry after %s\n", known.RetryAfter)
+	}
 	return fault.AnswerOf(known.Kind).ExitCode
 }
