--- a/core/join.go
+++ b/core/join.go
@@ -41,6 +41,7 @@
 	}
 	st.lastTick = now
 	st.fleet.Rejoin(now)
+	st.keys.ledger.Renew(now)
 	refused := fault.New(fault.NotReady, "the node was paused").WithRetryAfter(comeBackSoon)
 	effects := []types.Effect{
 		trace.Event{Kind: trace.NodeRejoined, Subject: st.fleet.Self().ID, Detail: "paused for " + gap.Truncate(time.Millisecond).String()},
--- a/core/keys.go
+++ b/core/keys.go
@@ -23,7 +23,6 @@
 	// left holds when the node ceased to take the work of a service.
 	left        map[types.ServiceName]time.Time
 	incarnation uint64
-	last        time.Time
 	// settled states that the node runs for longer than the margin.
 	settled bool
 }
@@ -36,13 +35,9 @@
 	}
 }
 
-// watchKeys notes, before an event, a pause of the process.
+// watchKeys notes the state before an event.
 func (st *State) watchKeys(now time.Time) {
 	ks := &st.keys
-	if !ks.last.IsZero() && now.Sub(ks.last) > pauseLimit {
-		ks.ledger.Renew(now)
-	}
-	ks.last = now
 	ks.incarnation = st.fleet.Self().Incarnation
 	if !ks.settled {
 		ks.settled = now.Sub(st.fleet.Self().Started) >= ks.limits.Margin
@@ -196,3 +191,11 @@
 	}
 	return settled
 }
+
+// Keys returns the number of idempotency keys that the node remembers.
+func (st *State) Keys() int { return st.keys.ledger.Len() }
+
+// Open returns the number of calls and works that are not over.
+func (st *State) Open() int {
+	return st.calls.Len() + st.gate.Running() + st.gate.Queued() + st.keys.ledger.Open()
+}
