--- a/script/script_test.go
+++ b/script/script_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -30,6 +29,8 @@
 		"upstream":    upstream,
 		"load":        load,
 		"callers":     callers,
+		"keys":        keys,
+		"get-tls":     getTLS,
 		"get":         get,
 		"eventually":  eventually,
 		"link":        link,
@@ -65,6 +66,7 @@
 // that do not linger at the end of the scenario.
 func setup(env *testscript.Env) error {
 	env.Setenv("SEQUOIAMILL_STOP_LINGER", "300ms")
+	env.Setenv("SEQUOIAMILL_PLAIN_TEXT", "callers,peers,operators")
 	const ports = 20
 	var listeners []net.Listener
 	for number := range ports {
@@ -110,18 +112,6 @@
 	serve(os.Args[3], relay)
 }
 
-func upstream() {
-	name := flag.String("name", "", "name in the answers")
-	listen := flag.String("listen", "", "address")
-	admin := flag.String("admin", "", "operator address of the node")
-	service := flag.String("service", "", "service")
-	work := flag.Duration("work", 0, "time of each request")
-	flag.Parse()
-	announcement := fakes.Announcement{Service: *service, Address: *listen, Slots: 10, Connections: 100}
-	go fakes.Announce(context.Background(), *admin, announcement, time.Second)
-	serve(*listen, &fakes.Upstream{Name: *name, Work: *work})
-}
-
 func get() {
 	response, err := http.Get(os.Args[1])
 	if err != nil {
