Prove what answers are taken and that no request is resent

Cause: no test showed how crossed, truncated, unverifiable or shed answers end, nor that the transport never sends a request a second time.

--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -22,7 +22,8 @@
 }
 
 // ServeHTTP runs one request: it counts the run by idempotency key and echoes
-// the request identifier and the body.
+// the request identifier and the body, unless the request names a mode in
+// which the answer is broken or is none.
 func (up *Upstream) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == "/runs" {
 		writeJSON(writer, up.Runs())
@@ -33,8 +34,16 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
+	mode := request.Header.Get(HeaderMode)
+	if mode == "shed" {
+		shed(writer, request)
+		return
+	}
 	up.count(request.Header.Get("Idempotency-Key"))
 	time.Sleep(up.Work)
+	if broken(writer, request, mode) {
+		return
+	}
 	writer.Header().Set("Sequoiamill-Request-Id", request.Header.Get("Sequoiamill-Request-Id"))
 	writer.Header().Set("Upstream", up.Name)
 	_, _ = fmt.Fprintf(writer, "%s %s from %s: %s", request.Method, request.URL.Path, up.Name, body)
@@ -98,3 +107,12 @@
 	}
 	return response.Body.Close()
 }
+
+// Total returns the number of runs of all keys.
+func (up *Upstream) Total() int {
+	total := 0
+	for _, count := range up.Runs() {
+		total += count
+	}
+	return total
+}
