Measure long work on a slowed upstream, and any further variant

Cause: slowed upstreams and stragglers were measured apart only, and comparing an alternative of a decision needed a change of the code. Conclusion: alternatives run through the same seams as the baselines.

--- a/bench/added.go
+++ b/bench/added.go
@@ -46,12 +46,12 @@
 			Length:  lab.span(2*time.Second, 10*time.Second),
 			Seed:    lab.seedOf(run),
 		}
-		if err := addedRun(ctx, sh, Variant{Name: "20 calls/s per node"}, ft, load, layout.Size()); err != nil {
+		if err := addedRun(ctx, sh, ft.at("20 calls/s per node"), ft, load, layout.Size()); err != nil {
 			return err
 		}
 		load.Classes = few.classes(addedWork)
 		load.Rate = Steady(letterNodeRate * float64(few.Size()))
-		return addedRun(ctx, sh, Variant{Name: "264 calls/s per node"}, ft, load, few.Size())
+		return addedRun(ctx, sh, ft.at("264 calls/s per node"), ft, load, few.Size())
 	})
 	if err != nil {
 		return err
@@ -64,6 +64,15 @@
 	return lab.report(sh)
 }
 
+// at returns a variant named after a rate, and after the fleet's own one if that
+// is not the product.
+func (ft *Fleet) at(rate string) Variant {
+	if ft.Variant.Name == Product.Name {
+		return Variant{Name: rate}
+	}
+	return Variant{Name: ft.Variant.Name + ", " + rate}
+}
+
 // addedRun offers a load to the upstreams of the first nodes and then to these
 // nodes.
 func addedRun(ctx context.Context, sh *sheet, variant Variant, ft *Fleet, load Load, nodes int) error {
--- a/bench/lab.go
+++ b/bench/lab.go
@@ -6,6 +6,8 @@
 	"io"
 	"math"
 	"os"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -31,6 +33,8 @@
 	mode Mode
 	runs int
 	seed uint64
+	// also holds further variants that every comparison runs.
+	also []Variant
 	// busy holds the load average of the machine after each measurement since
 	// the last report.
 	busy []float64
@@ -59,6 +63,15 @@
 	return func(lb *Lab) { lb.dir = dir }
 }
 
+// WithAlso adds a variant with these flags of the nodes to every comparison.
+func WithAlso(flags ...string) Option {
+	return func(lb *Lab) {
+		if len(flags) > 0 {
+			lb.also = append(lb.also, Variant{Name: strings.Join(flags, " "), Flags: flags})
+		}
+	}
+}
+
 // NewLab returns a lab that prints its tables.
 func NewLab(out io.Writer, opts ...Option) *Lab {
 	lb := &Lab{out: out, mode: Quick, runs: defaultRuns, seed: 1}
@@ -119,7 +132,7 @@
 			ft.Stop()
 		}
 	}()
-	for _, variant := range variants {
+	for _, variant := range slices.Concat(variants, lb.also) {
 		ft, err := StartFleet(ctx, layout, variant)
 		if err != nil {
 			return err
--- a/bench/tail.go
+++ b/bench/tail.go
@@ -38,42 +38,65 @@
 
 // Stragglers measures short calls while 2% of the calls run 100 times longer.
 func Stragglers(ctx context.Context, lab *Lab, layout Layout) error {
-	layout = layout.WithDeadline(longDeadline)
 	sh := newSheet("stragglers", layout)
+	if err := lab.behindLong(ctx, sh, layout, (*Fleet).offer); err != nil {
+		return err
+	}
+	sh.hold("short p99, with over without", AtMost(tailTarget))
+	sh.hold("long calls whole", AtLeast(0.99))
+	sh.hold("long p50 over its work", AtMost(longSlowTarget))
+	sh.holdTrust()
+	return lab.report(sh)
+}
+
+// SlowedStragglers measures short calls behind long ones while one upstream is
+// ten times slower in spells.
+func SlowedStragglers(ctx context.Context, lab *Lab, layout Layout) error {
+	lab = lab.fewer()
+	sh := newSheet("slowed-stragglers", layout)
+	if err := lab.behindLong(ctx, sh, layout, (*Fleet).offerSlowed); err != nil {
+		return err
+	}
+	sh.holdTrust()
+	return lab.report(sh)
+}
+
+// offer runs a load against a fleet.
+type offer func(ft *Fleet, ctx context.Context, load Load) (Outcome, error)
+
+func (lb *Lab) behindLong(ctx context.Context, sh *sheet, layout Layout, offered offer) error {
+	layout = layout.WithDeadline(longDeadline)
 	mean := time.Duration((1 - longShare + longShare*longFactor) * float64(shortWork))
 	rate := stragglerLoad * layout.capacity(mean)
-	err := lab.compare(ctx, layout, []Variant{Product, FIFORoundRobin}, func(run int, ft *Fleet) error {
-		load := Load{Rate: Steady(rate * (1 - longShare)), Length: lab.span(2*time.Second, 15*time.Second), Seed: lab.seedOf(run)}
+	return lb.compare(ctx, layout, []Variant{Product, FIFORoundRobin}, func(run int, ft *Fleet) error {
+		load := Load{Rate: Steady(rate * (1 - longShare)), Length: lb.span(2*time.Second, 15*time.Second), Seed: lb.seedOf(run)}
 		load.Classes = layout.split(0)
 		alone, err := ft.offer(ctx, load)
 		if err != nil {
 			return err
 		}
 		load.Classes, load.Rate, load.Length = layout.split(longShare), Steady(rate), load.Length+longFactor*shortWork+time.Second
-		with, err := ft.offer(ctx, load)
+		with, err := offered(ft, ctx, load)
 		if err != nil {
 			return err
 		}
-		filled := with.Between(longFactor*shortWork, load.Length)
-		shorts, longs := filled.Class(short), filled.Class(long)
-		sh.add(ft.Variant, "short p99 without long work", "ms", alone.Millis(tailPercent))
-		sh.add(ft.Variant, "short p99 with long work", "ms", shorts.Millis(tailPercent))
-		sh.add(ft.Variant, "short p99, with over without", "ratio", shorts.Millis(tailPercent)/alone.Millis(tailPercent))
-		sh.add(ft.Variant, "short calls whole", "share", shorts.Share(Whole))
-		sh.add(ft.Variant, "long calls whole", "share", longs.Share(Whole))
-		sh.add(ft.Variant, "long p50 over its work", "ratio", longs.With(Whole).Millis(medianPercent)/millisOf(longFactor*shortWork))
-		sh.add(ft.Variant, "upstream calls per caller's call", "ratio", ratio(int(with.Upstreams.Runs), len(with.Results)))
-		sh.addTrust(ft.Variant, with)
+		sh.addLong(ft.Variant, alone, with, load.Length)
 		return nil
 	})
-	if err != nil {
-		return err
-	}
-	sh.hold("short p99, with over without", AtMost(tailTarget))
-	sh.hold("long calls whole", AtLeast(0.99))
-	sh.hold("long p50 over its work", AtMost(longSlowTarget))
-	sh.holdTrust()
-	return lab.report(sh)
+}
+
+// addLong adds the figures of one run without long work and one with it.
+func (sh *sheet) addLong(variant Variant, alone, with Outcome, length time.Duration) {
+	filled := with.Between(longFactor*shortWork, length)
+	shorts, longs := filled.Class(short), filled.Class(long)
+	sh.add(variant, "short p99 without long work", "ms", alone.Millis(tailPercent))
+	sh.add(variant, "short p99 with long work", "ms", shorts.Millis(tailPercent))
+	sh.add(variant, "short p99, with over without", "ratio", shorts.Millis(tailPercent)/alone.Millis(tailPercent))
+	sh.add(variant, "short calls whole", "share", shorts.Share(Whole))
+	sh.add(variant, "long calls whole", "share", longs.Share(Whole))
+	sh.add(variant, "long p50 over its work", "ratio", longs.With(Whole).Millis(medianPercent)/millisOf(longFactor*shortWork))
+	sh.add(variant, "upstream calls per caller's call", "ratio", ratio(int(with.Upstreams.Runs), len(with.Results)))
+	sh.addTrust(variant, with)
 }
 
 func millisOf(span time.Duration) float64 { return span.Seconds() * millis }
--- a/cmd/millbench/main.go
+++ b/cmd/millbench/main.go
@@ -21,12 +21,13 @@
 )
 
 type settings struct {
-	Quick bool   `help:"Short runs."`
-	Smoke bool   `help:"One run of a few seconds with 3 nodes."`
-	Runs  int    `help:"Runs of each experiment." default:"5"`
-	Seed  uint64 `help:"Seed of the first run." default:"1"`
-	Dir   string `help:"Directory to which tables, results and charts are added."`
-	Sizes []int  `help:"Numbers of nodes of the slopes." default:"17,40,80,160"`
+	Quick bool     `help:"Short runs."`
+	Smoke bool     `help:"One run of a few seconds with 3 nodes."`
+	Runs  int      `help:"Runs of each experiment." default:"5"`
+	Seed  uint64   `help:"Seed of the first run." default:"1"`
+	Dir   string   `help:"Directory to which tables, results and charts are added."`
+	Also  []string `help:"Flags of the nodes of one more variant, as in --also=--balance=least-outstanding."`
+	Sizes []int    `help:"Numbers of nodes of the slopes." default:"17,40,80,160"`
 
 	Layout string `help:"Layout: board, weerasinghe, scale, both of the first two, or home, the one whose users weigh the quantity most." enum:"board,weerasinghe,scale,both,home" default:"both"`
 	Nodes  int    `help:"Number of nodes of the layout scale." default:"40"`
@@ -40,7 +41,7 @@
 	if s.Smoke {
 		mode = bench.Smoke
 	}
-	return bench.NewLab(os.Stdout, bench.WithMode(mode), bench.WithRuns(s.Runs), bench.WithSeed(s.Seed), bench.WithDir(s.Dir))
+	return bench.NewLab(os.Stdout, bench.WithMode(mode), bench.WithRuns(s.Runs), bench.WithSeed(s.Seed), bench.WithDir(s.Dir), bench.WithAlso(s.Also...))
 }
 
 func (s settings) layouts() []bench.Layout {
@@ -62,18 +63,19 @@
 
 type commands struct {
 	settings
-	Added        struct{} `cmd:"" help:"Time added to a call by its entry and its owner."`
-	Crest        struct{} `cmd:"" help:"Service while demand swings to 3 times the capacity."`
-	Stragglers   struct{} `cmd:"" help:"Short work behind long work."`
-	Slowed       struct{} `cmd:"" help:"Tail while one upstream is slowed in spells."`
-	Converge     struct{} `cmd:"" help:"Time until a change is in force everywhere."`
-	Control      struct{} `cmd:"" help:"What nodes spend without calls."`
-	CrestLeaving struct{} `cmd:"" help:"Crest while an upstream leaves."`
-	Herd         struct{} `cmd:"" help:"All nodes die and restart at the crest."`
-	Outage       struct{} `cmd:"" help:"Platform down while upstreams come and go."`
-	Churn        struct{} `cmd:"" help:"A configuration change a second under load."`
-	Slopes       struct{} `cmd:"" help:"Use per node at several sizes."`
-	All          struct{} `cmd:"" help:"All experiments."`
+	Added            struct{} `cmd:"" help:"Time added to a call by its entry and its owner."`
+	Crest            struct{} `cmd:"" help:"Service while demand swings to 3 times the capacity."`
+	Stragglers       struct{} `cmd:"" help:"Short work behind long work."`
+	Slowed           struct{} `cmd:"" help:"Tail while one upstream is slowed in spells."`
+	SlowedStragglers struct{} `cmd:"" help:"Short work behind long work while one upstream is slowed in spells."`
+	Converge         struct{} `cmd:"" help:"Time until a change is in force everywhere."`
+	Control          struct{} `cmd:"" help:"What nodes spend without calls."`
+	CrestLeaving     struct{} `cmd:"" help:"Crest while an upstream leaves."`
+	Herd             struct{} `cmd:"" help:"All nodes die and restart at the crest."`
+	Outage           struct{} `cmd:"" help:"Platform down while upstreams come and go."`
+	Churn            struct{} `cmd:"" help:"A configuration change a second under load."`
+	Slopes           struct{} `cmd:"" help:"Use per node at several sizes."`
+	All              struct{} `cmd:"" help:"All experiments."`
 }
 
 var experiments = []struct {
@@ -89,6 +91,7 @@
 	{"converge", bench.Converge, "board"},
 	{"control", bench.Control, "board"},
 	{"crest-leaving", bench.CrestLeaving, "board"},
+	{"slowed-stragglers", bench.SlowedStragglers, "weerasinghe"},
 	{"herd", bench.Herd, "board"},
 	{"outage", bench.Outage, "board"},
 	{"churn", bench.Churn, "board"},
