--- a/bench/faults.go
+++ b/bench/faults.go
@@ -23,6 +23,7 @@
 	sh := newSheet("crest-leaving", layout)
 	err := lab.compare(ctx, layout, []Variant{Product, NoAdmission}, func(run int, ft *Fleet) error {
 		cr := lab.crest(layout, run)
+		cr.capacity *= float64(layout.Size()-1) / float64(layout.Size())
 		leave := time.AfterFunc(cr.begin+time.Second, func() {
 			_ = ft.change(groupChange{Leaving: true, Announce: true})
 		})
