--- a/conf/valid.go
+++ b/conf/valid.go
@@ -21,7 +21,7 @@
 
 var (
 	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
-	hostPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?(:[0-9]{1,5})?$`)
+	hostPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$`)
 	pathPattern = regexp.MustCompile(`^/[!-~]*$`)
 	methods     = types.NewSet("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE")
 )
@@ -194,5 +194,5 @@
 
 func isHost(host string) bool {
 	_, err := netip.ParseAddr(host)
-	return err == nil || hostPattern.MatchString(host)
+	return err == nil && host == strings.ToLower(host) || hostPattern.MatchString(host)
 }
