--- a/core/policy_test.go
+++ b/core/policy_test.go
@@ -19,20 +19,20 @@
 
 var start = time.Date(2026, 3, 2, 10, 0, 0, 0, time.UTC)
 
-// mesh is one node that has joined and holds a configuration.
-type mesh struct {
+// single is one node that has joined and holds a configuration.
+type single struct {
 	state    *core.State
 	snapshot conf.Snapshot
 	now      time.Time
 	last     uint64
 }
 
-// newMesh returns a node with a number of services of 4 upstreams each, the
+// newSingle returns a node with a number of services of 4 upstreams each, the
 // first upstream of the first service being its own.
-func newMesh(tb testing.TB, services, upstreams int, rules ...conf.UpstreamRule) *mesh {
+func newSingle(tb testing.TB, services, upstreams int, rules ...conf.UpstreamRule) *single {
 	tb.Helper()
 	self := fleet.Member{ID: "i0", Zone: "kolkata", Address: "10.0.0.1:1", Incarnation: 1, Started: start.Add(-time.Hour)}
-	ms := &mesh{state: core.New(self, core.WithSeed(1)), now: start}
+	sg := &single{state: core.New(self, core.WithSeed(1)), now: start}
 	config := conf.Config{Rules: rules}
 	for number := range services {
 		name := fmt.Sprintf("s%d", number)
@@ -46,10 +46,10 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	ms.snapshot = snapshot
-	ms.step(conf.Offered{Snapshot: snapshot, Version: 1})
-	ms.step(core.RootRead{Epoch: ms.state.Fleet().Epoch(), Version: 1})
-	ms.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
+	sg.snapshot = snapshot
+	sg.step(conf.Offered{Snapshot: snapshot, Version: 1})
+	sg.step(core.RootRead{Epoch: sg.state.Fleet().Epoch(), Version: 1})
+	sg.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
 	message := fleet.Message{From: "i1", Incarnation: 1, Version: 1, Full: true}
 	for number := 1; number < upstreams; number++ {
 		message.Members = append(message.Members, fleet.Member{
@@ -59,23 +59,23 @@
 		})
 	}
 	if upstreams > 1 {
-		ms.step(fleet.ExchangeAnswered{Peer: "i1", Address: "10.0.1.1:1", Message: message})
+		sg.step(fleet.ExchangeAnswered{Peer: "i1", Address: "10.0.1.1:1", Message: message})
 	}
-	return ms
+	return sg
 }
 
-func (ms *mesh) step(event types.Event) []types.Effect { return ms.state.Step(event, ms.now) }
+func (sg *single) step(event types.Event) []types.Effect { return sg.state.Step(event, sg.now) }
 
-func (ms *mesh) announce(announcement core.Announcement) []types.Effect {
-	return ms.step(core.UpstreamAnnounced{Announcement: announcement})
+func (sg *single) announce(announcement core.Announcement) []types.Effect {
+	return sg.step(core.UpstreamAnnounced{Announcement: announcement})
 }
 
-func (ms *mesh) work(count int, left time.Duration) []types.Effect {
+func (sg *single) work(count int, left time.Duration) []types.Effect {
 	var effects []types.Effect
 	for range count {
-		ms.last++
-		work := admit.Work{ID: types.WorkID(ms.last), Service: "s0", Route: "s0", Importance: conf.Normal, Deadline: ms.now.Add(left)}
-		effects = append(effects, ms.step(admit.Arrived{Work: work})...)
+		sg.last++
+		work := admit.Work{ID: types.WorkID(sg.last), Service: "s0", Route: "s0", Importance: conf.Normal, Deadline: sg.now.Add(left)}
+		effects = append(effects, sg.step(admit.Arrived{Work: work})...)
 	}
 	return effects
 }
@@ -110,38 +110,38 @@
 
 func TestUpstreamLeaves(t *testing.T) {
 	check := is.New(t)
-	ms := newMesh(t, 1, 2)
-	dispatched, _, _ := tally(ms.work(12, time.Second))
+	sg := newSingle(t, 1, 2)
+	dispatched, _, _ := tally(sg.work(12, time.Second))
 	check.Equal(dispatched, 10)
-	checkRefused(check, ms.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100, Leaving: true}), 2, fault.Closed)
-	checkRefused(check, ms.work(1, time.Second), 1, fault.Closed)
-	check.Equal(ms.state.Load().Outstanding, 10) // running work goes on
+	checkRefused(check, sg.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100, Leaving: true}), 2, fault.Closed)
+	checkRefused(check, sg.work(1, time.Second), 1, fault.Closed)
+	check.Equal(sg.state.Load().Outstanding, 10) // running work goes on
 }
 
 func TestAnnouncementExpires(t *testing.T) {
 	check := is.New(t)
-	ms := newMesh(t, 1, 2)
-	ms.work(12, time.Minute)
+	sg := newSingle(t, 1, 2)
+	sg.work(12, time.Minute)
 	var effects []types.Effect
 	for range 11 {
-		ms.now = ms.now.Add(time.Second)
-		effects = append(effects, ms.step(core.Tick{})...)
+		sg.now = sg.now.Add(time.Second)
+		effects = append(effects, sg.step(core.Tick{})...)
 	}
 	checkRefused(check, effects, 2, fault.NoUpstream)
-	check.Equal(ms.state.Load().Outstanding, 10)
+	check.Equal(sg.state.Load().Outstanding, 10)
 }
 
 func TestUpstreamChangesService(t *testing.T) {
 	check := is.New(t)
-	ms := newMesh(t, 2, 2)
-	ms.work(12, time.Second)
-	checkRefused(check, ms.announce(core.Announcement{Service: "s1", Slots: 20, Connections: 100}), 2, fault.NoUpstream)
+	sg := newSingle(t, 2, 2)
+	sg.work(12, time.Second)
+	checkRefused(check, sg.announce(core.Announcement{Service: "s1", Slots: 20, Connections: 100}), 2, fault.NoUpstream)
 }
 
 func TestRuleCapsSlots(t *testing.T) {
 	check := is.New(t)
-	ms := newMesh(t, 1, 2, conf.UpstreamRule{Name: "few", Service: "s0", Slots: 8, Connections: 3})
-	dispatched, _, _ := tally(ms.work(5, time.Second))
+	sg := newSingle(t, 1, 2, conf.UpstreamRule{Name: "few", Service: "s0", Slots: 8, Connections: 3})
+	dispatched, _, _ := tally(sg.work(5, time.Second))
 	check.Equal(dispatched, 3) // the lower of slots and connections
 }
 
@@ -149,25 +149,25 @@
 func TestClosingHour(t *testing.T) {
 	check := is.New(t)
 	hours := conf.Hours{TimeZone: "UTC", Location: time.UTC, Spans: []conf.Span{{From: conf.Clock(9 * time.Hour), To: conf.Clock(11 * time.Hour)}}}
-	ms := newMesh(t, 1, 2, conf.UpstreamRule{Name: "day", Service: "s0", Hours: types.Some(hours)})
-	ms.work(10, time.Minute)
-	ms.now = ms.now.Add(time.Second)
+	sg := newSingle(t, 1, 2, conf.UpstreamRule{Name: "day", Service: "s0", Hours: types.Some(hours)})
+	sg.work(10, time.Minute)
+	sg.now = sg.now.Add(time.Second)
 	for id := 1; id <= 10; id++ {
-		ms.step(admit.Ended{ID: types.WorkID(id), Ran: fault.Ran, Elapsed: time.Second, Whole: true})
+		sg.step(admit.Ended{ID: types.WorkID(id), Ran: fault.Ran, Elapsed: time.Second, Whole: true})
 	}
-	ms.now = start.Add(time.Hour - 3*time.Second)
-	ms.step(core.Tick{})
-	ms.step(core.RootRead{Epoch: ms.state.Fleet().Epoch(), Version: 1})
-	ms.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
-	dispatched, _, _ := tally(ms.work(12, time.Minute))
+	sg.now = start.Add(time.Hour - 3*time.Second)
+	sg.step(core.Tick{})
+	sg.step(core.RootRead{Epoch: sg.state.Fleet().Epoch(), Version: 1})
+	sg.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
+	dispatched, _, _ := tally(sg.work(12, time.Minute))
 	check.Equal(dispatched, 10)
-	ms.now = ms.now.Add(2500 * time.Millisecond) // work on the route takes a second
-	checkRefused(check, ms.work(1, time.Minute), 1, fault.Closed)
-	ms.now = ms.now.Add(500 * time.Millisecond)
-	checkRefused(check, ms.step(core.Tick{}), 2, fault.Closed)
-	check.Equal(ms.state.Load().Outstanding, 10) // running work goes on
+	sg.now = sg.now.Add(2500 * time.Millisecond) // work on the route takes a second
+	checkRefused(check, sg.work(1, time.Minute), 1, fault.Closed)
+	sg.now = sg.now.Add(500 * time.Millisecond)
+	checkRefused(check, sg.step(core.Tick{}), 2, fault.Closed)
+	check.Equal(sg.state.Load().Outstanding, 10) // running work goes on
 	call := flow.CallArrived{Call: 1, Request: "r", Target: route.Request{Method: "GET", Path: "/s0"}}
-	for _, effect := range ms.step(call) {
+	for _, effect := range sg.step(call) {
 		_, started := effect.(flow.StartAttempt)
 		check.True(!started) // no upstream is open
 	}
@@ -180,12 +180,12 @@
 			policies := core.DefaultPolicies()
 			policies.Queue = kind
 			check.NoErr(policies.Validate())
-			ms := newMesh(t, 1, 2)
-			ms.state = core.New(ms.state.Fleet().Self(), core.WithPolicies(policies))
-			ms.step(conf.Offered{Snapshot: ms.snapshot, Version: 1})
-			ms.step(core.RootRead{Epoch: ms.state.Fleet().Epoch(), Version: 1})
-			ms.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
-			dispatched, refused, _ := tally(ms.work(40, time.Second))
+			sg := newSingle(t, 1, 2)
+			sg.state = core.New(sg.state.Fleet().Self(), core.WithPolicies(policies))
+			sg.step(conf.Offered{Snapshot: sg.snapshot, Version: 1})
+			sg.step(core.RootRead{Epoch: sg.state.Fleet().Epoch(), Version: 1})
+			sg.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
+			dispatched, refused, _ := tally(sg.work(40, time.Second))
 			check.Equal(dispatched, want)
 			check.Equal(len(refused) > 0, kind == core.QueueShed)
 		})
@@ -199,20 +199,20 @@
 func BenchmarkCall(b *testing.B) {
 	for _, upstreams := range []int{17, 200, 910} {
 		b.Run(fmt.Sprintf("upstreams-%d", upstreams), func(b *testing.B) {
-			ms := newMesh(b, min(140, upstreams/4), upstreams)
+			sg := newSingle(b, min(140, upstreams/4), upstreams)
 			id := uint64(0)
 			b.ReportAllocs()
 			for b.Loop() {
 				id++
-				ms.now = ms.now.Add(100 * time.Microsecond)
+				sg.now = sg.now.Add(100 * time.Microsecond)
 				call := types.CallID(id)
-				ms.step(flow.CallArrived{Call: call, Request: "r", Target: route.Request{Method: "GET", Path: "/s0/7"}})
-				ms.work(1, time.Second)
-				ms.step(admit.Ended{ID: types.WorkID(ms.last), Ran: fault.Ran, Elapsed: time.Millisecond, Whole: true})
-				ms.step(flow.AttemptEnded{Call: call, Attempt: 1, Verdict: flow.Answered, Elapsed: time.Millisecond})
+				sg.step(flow.CallArrived{Call: call, Request: "r", Target: route.Request{Method: "GET", Path: "/s0/7"}})
+				sg.work(1, time.Second)
+				sg.step(admit.Ended{ID: types.WorkID(sg.last), Ran: fault.Ran, Elapsed: time.Millisecond, Whole: true})
+				sg.step(flow.AttemptEnded{Call: call, Attempt: 1, Verdict: flow.Answered, Elapsed: time.Millisecond})
 				if id%10_000 == 0 {
-					ms.step(core.Tick{})
-					ms.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
+					sg.step(core.Tick{})
+					sg.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
 				}
 			}
 		})
