Send heartbeats from a timer

Cause: each forwarded call started a goroutine and a ticker for heartbeats that most calls never need.

Change: a timer sends them, and the handler runs the job itself.

Ruled out: heartbeats from one goroutine for all calls, which would hold a lock over writes to many connections.

--- a/proxy/heart.go
+++ b/proxy/heart.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,18 +24,37 @@
 // doWithHeartbeat runs a job and sends an interim response from time to time
 // while it runs.
 func (ow *Owner) doWithHeartbeat(ctx context.Context, writer http.ResponseWriter, job Job) Reply {
-	done := make(chan Reply, 1)
-	go func() { done <- ow.Do(ctx, job) }()
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case reply := <-done:
-			return reply
-		case <-ticker.C:
-			writer.WriteHeader(http.StatusProcessing)
-		}
+	hb := &heartbeat{writer: writer}
+	hb.mu.Lock()
+	hb.timer = time.AfterFunc(heartbeatInterval, hb.beat)
+	hb.mu.Unlock()
+	defer hb.stop()
+	return ow.Do(ctx, job)
+}
+
+// heartbeat sends interim responses until it is stopped.
+type heartbeat struct {
+	mu      sync.Mutex
+	writer  http.ResponseWriter
+	timer   *time.Timer
+	stopped bool
+}
+
+func (hb *heartbeat) beat() {
+	hb.mu.Lock()
+	defer hb.mu.Unlock()
+	if hb.stopped {
+		return
 	}
+	hb.writer.WriteHeader(http.StatusProcessing)
+	hb.timer.Reset(heartbeatInterval)
+}
+
+func (hb *heartbeat) stop() {
+	hb.mu.Lock()
+	defer hb.mu.Unlock()
+	hb.stopped = true
+	hb.timer.Stop()
 }
 
 // watchdog cancels an exchange when no byte moves for the silence limit.
