Show a bad root in the status of every node and bound a peer's warm-up

Cause: only nodes that watch the platform showed a bad root. A warm-up told by a peer could overflow and turn negative.

Change: the status of a node without a refused root reads the platform for half a second at most. The warm-up of a peer's upstream is bounded to an hour.

Ruled out: gossip of the refusal, since it costs control bytes all the time.

--- a/admin/read.go
+++ b/admin/read.go
@@ -22,23 +22,29 @@
 // Read returns the configuration that the platform holds.
 func (pb *Publisher) Read(ctx context.Context) (conf.Snapshot, error) {
 	var snap conf.Snapshot
-	err := pb.retry(ctx, func() error {
-		object, root, err := pb.readRootOnce(ctx)
-		if err != nil || root.Version == 0 {
-			return err
-		}
-		bundle, err := FetchBundle(ctx, pb.store, object.Body, pb.held())
-		if err == nil {
-			snap, err = codec.Open(bundle)
-		}
-		if fault.Is(err, fault.ConfigRefused) {
-			return fault.New(fault.ConfigRefused, "version %d of the platform: %s", root.Version, fault.From(err).Message)
-		}
+	err := pb.retry(ctx, func() (err error) {
+		snap, err = pb.readOnce(ctx)
 		return err
 	})
 	return snap, err
 }
 
+func (pb *Publisher) readOnce(ctx context.Context) (conf.Snapshot, error) {
+	object, root, err := pb.readRootOnce(ctx)
+	if err != nil || root.Version == 0 {
+		return conf.Snapshot{}, err
+	}
+	var snap conf.Snapshot
+	bundle, err := FetchBundle(ctx, pb.store, object.Body, pb.held())
+	if err == nil {
+		snap, err = codec.Open(bundle)
+	}
+	if fault.Is(err, fault.ConfigRefused) {
+		return conf.Snapshot{}, fault.New(fault.ConfigRefused, "version %d of the platform: %s", root.Version, fault.From(err).Message)
+	}
+	return snap, err
+}
+
 func (pb *Publisher) readRoot(ctx context.Context) (plat.Object, conf.Root, error) {
 	var object plat.Object
 	var root conf.Root
--- a/admin/server.go
+++ b/admin/server.go
@@ -11,6 +11,7 @@
 	"sequoiamill.example/sequoiamill/api/opsv1/opsv1connect"
 	"sequoiamill.example/sequoiamill/codec"
 	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
@@ -20,6 +21,8 @@
 	waitInterval = 100 * time.Millisecond
 	// publishTimeout bounds a change or a read of the platform.
 	publishTimeout = 5 * time.Second
+	// statusTimeout bounds the read of the platform for the status.
+	statusTimeout = 500 * time.Millisecond
 )
 
 // View is what a node knows of itself and the fleet.
@@ -112,11 +115,11 @@
 }
 
 // Status reports which nodes hold which version.
-func (sv *server) Status(context.Context, *connect.Request[opsv1.StatusRequest]) (*connect.Response[opsv1.StatusResponse], error) {
+func (sv *server) Status(ctx context.Context, _ *connect.Request[opsv1.StatusRequest]) (*connect.Response[opsv1.StatusResponse], error) {
 	view := sv.service.View()
 	status := &opsv1.StatusResponse{Instance: string(view.Self), Version: uint64(view.Version), Floor: uint64(view.Floor)}
-	if view.Refused.Err != nil {
-		status.RefusedRoot = view.Refused.Err.Error()
+	if refused := sv.refusedRoot(ctx, view); refused != nil {
+		status.RefusedRoot = refused.Error()
 	}
 	for _, member := range view.Members {
 		status.Nodes = append(status.Nodes, nodeToProto(member))
@@ -124,6 +127,24 @@
 	return connect.NewResponse(status), nil
 }
 
+// refusedRoot returns why the platform's root can't be taken. A node that does
+// not watch the platform reads it for this, and leaves it out in an outage.
+func (sv *server) refusedRoot(ctx context.Context, view View) *fault.Error {
+	if view.Refused.Err != nil {
+		return view.Refused.Err
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	snap, err := sv.service.Publisher.readOnce(ctx)
+	switch {
+	case fault.Is(err, fault.ConfigRefused):
+		return fault.From(err)
+	case err == nil && snap.Version() < view.Version:
+		return fault.New(fault.ConfigRefused, "the platform's root went back from version %d to %d", view.Version, snap.Version())
+	}
+	return nil
+}
+
 func nodeToProto(member fleet.Member) *opsv1.NodeStatus {
 	return &opsv1.NodeStatus{
 		Instance: string(member.ID),
--- /dev/null
+++ b/admin/status_test.go
@@ -0,0 +1,59 @@
+package admin_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"sequoiamill.example/sequoiamill/admin"
+	"sequoiamill.example/sequoiamill/api/opsv1"
+	"sequoiamill.example/sequoiamill/api/opsv1/opsv1connect"
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/plat"
+)
+
+// TestStatusOfUnwatchedRoot asks a node that does not watch the platform.
+func TestStatusOfUnwatchedRoot(t *testing.T) {
+	old := `{"version":1,"change-id":"old","packs":null,"entries":null,"recent":null}`
+	tests := []struct {
+		name    string
+		root    string
+		down    bool
+		refused conf.Refused
+		want    string
+	}{
+		{"unreadable", "{", false, conf.Refused{}, "config-refused: decode root: unexpected EOF"},
+		{"went back", old, false, conf.Refused{}, "config-refused: the platform's root went back from version 2 to 1"},
+		{"refused by the node", "{", false, conf.Refused{Err: fault.New(fault.ConfigRefused, "known")}, "config-refused: known"},
+		{"platform down", "{", true, conf.Refused{}, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			bn := newBench()
+			_, err := bn.Put(t.Context(), plat.Object{Name: plat.RootName, Body: []byte(test.root)})
+			is.NoErr(err)
+			if test.down {
+				bn.Get = func(context.Context, plat.Name) (plat.Object, error) {
+					return plat.Object{}, unavailable(fault.NotRun)
+				}
+			}
+			mux := http.NewServeMux()
+			mux.Handle(admin.NewHandler(admin.Service{
+				Publisher: bn.publisher(),
+				View:      func() admin.View { return admin.View{Self: "a", Version: 2, Refused: test.refused} },
+			}))
+			server := httptest.NewServer(mux)
+			defer server.Close()
+			client := opsv1connect.NewOperatorClient(server.Client(), server.URL)
+			response, err := client.Status(t.Context(), connect.NewRequest(&opsv1.StatusRequest{}))
+			is.NoErr(err)
+			is.Equal(response.Msg.GetRefusedRoot(), test.want)
+		})
+	}
+}
--- a/codec/peer.go
+++ b/codec/peer.go
@@ -14,6 +14,7 @@
 const (
 	maxMembers    = 10_000
 	maxNameLength = 253
+	maxWarmUp     = time.Hour
 )
 
 // MessageToProto encodes an exchange message.
@@ -123,7 +124,7 @@
 		member.Upstream = types.Some(fleet.Upstream{
 			Slots:       int(upstream.GetSlots()),
 			Connections: int(upstream.GetConnections()),
-			WarmUp:      time.Duration(upstream.GetWarmUpMillis()) * time.Millisecond,
+			WarmUp:      warmUpFromProto(upstream.GetWarmUpMillis()),
 			ReadyAt:     time.UnixMilli(upstream.GetReadyAtMillis()),
 			Leaving:     upstream.GetLeaving(),
 		})
@@ -131,6 +132,11 @@
 	return member, nil
 }
 
+// warmUpFromProto bounds what a peer tells of an upstream.
+func warmUpFromProto(millis int64) time.Duration {
+	return time.Duration(min(max(millis, 0), maxWarmUp.Milliseconds())) * time.Millisecond
+}
+
 // BundleToProto encodes a bundle, leaving out the bodies that the asker holds.
 func BundleToProto(bundle conf.Bundle, held types.Set[types.Hash]) *peerv1.PullResponse {
 	wire := &peerv1.PullResponse{Root: bundle.RootBody, Bodies: map[string][]byte{}}
