Show kills, pauses, partitions and herds with whole processes

Cause: What the fleet does when nodes die, pause, lose each other or all start together was shown for single tables only.

Change: Scenarios kill a node, pause and wake one, cut the control messages between two halves, and kill and start eight nodes together with the platform up, slow and down. Reducer tests show that a node that was restarted in an outage next to a stale peer serves nothing below its floor, that one alone in an outage serves nothing, and that a paused one refuses work until an exchange sent after the pause is answered. Tests of the directory show that a late deletion of a record written since has no effect. A node that starts waits for its join before it stands for delegate.

Ruled out: Filtering packets by the host, which tests may not do; the link tells the halves apart by the instance named on each request.

Conclusion: The forward path is not cut in the partition, control is.

--- /dev/null
+++ b/core/join_test.go
@@ -0,0 +1,100 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiamill.example/sequoiamill/admit"
+	"sequoiamill.example/sequoiamill/codec"
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+var joinStart = time.Date(2026, 1, 2, 9, 0, 0, 0, time.UTC)
+
+func joinOffer(is *is.I, version types.Version) conf.Offered {
+	is.Helper()
+	bundle, err := codec.Seal(conf.Root{Version: version}, conf.Config{Services: []conf.Service{{Name: "intake"}}})
+	is.NoErr(err)
+	snap, err := codec.Open(bundle)
+	is.NoErr(err)
+	return conf.Offered{Snapshot: snap, Version: version}
+}
+
+func joinMember(id types.InstanceID, held types.Version) fleet.Member {
+	return fleet.Member{ID: id, Incarnation: 1, Status: fleet.Alive, Address: types.Address(id + ":1"), Zone: "kolkata", Held: held, Started: joinStart}
+}
+
+// answer is a peer's answer, with its own record first.
+func answer(epoch uint64, version types.Version, members ...fleet.Member) fleet.ExchangeAnswered {
+	message := fleet.Message{From: members[0].ID, Version: version, Members: members, Full: true}
+	return fleet.ExchangeAnswered{Peer: message.From, Address: members[0].Address, Epoch: epoch, Message: message}
+}
+
+func TestRestartedNodeInAnOutageServesNothingBelowItsFloor(t *testing.T) {
+	is := is.New(t)
+	now := joinStart.Add(time.Minute)
+	st := New(fleet.Member{ID: "a", Incarnation: 1, Address: "a:1", Zone: "kolkata", Started: joinStart.Add(time.Second)})
+	st.Step(Tick{}, now)
+	is.True(!st.Ready()) // alone without the platform
+	st.Step(answer(1, 4, joinMember("b", 4), joinMember("a", 6).WithStatus(fleet.Dead)), now)
+	st.Step(joinOffer(is, 4), now)
+	is.Equal(st.Conf().Floor(), types.Version(6))
+	is.True(!st.Ready()) // the only peer is stale
+	st.Step(joinOffer(is, 6), now)
+	st.Step(answer(1, 4, joinMember("b", 4)), now)
+	is.True(st.Ready())
+}
+
+func TestNodeWithThePlatformWaitsForItsCurrentVersion(t *testing.T) {
+	is := is.New(t)
+	st := New(fleet.Member{ID: "a", Incarnation: 1, Address: "a:1", Zone: "kolkata", Started: joinStart})
+	now := joinStart.Add(time.Minute)
+	st.Step(Tick{}, now)
+	st.Step(joinOffer(is, 4), now)
+	st.Step(RootRead{Epoch: 1, Version: 5}, now)
+	is.True(!st.Ready())
+	bad := conf.Offered{Version: 5, Platform: true, Err: fault.New(fault.ConfigRefused, "bad")}
+	st.Step(bad, now)
+	is.True(st.Ready()) // the last good version stays in force
+}
+
+func TestPausedNodeRefusesWorkUntilItHasJoinedAgain(t *testing.T) {
+	is := is.New(t)
+	now := joinStart.Add(time.Minute)
+	st := New(fleet.Member{ID: "a", Incarnation: 1, Address: "a:1", Zone: "kolkata", Started: joinStart.Add(time.Second)})
+	work := func(id types.WorkID) admit.Work {
+		return admit.Work{ID: id, Service: "intake", Deadline: now.Add(time.Hour)}
+	}
+	refused := func(effects []types.Effect) bool {
+		for _, effect := range effects {
+			if ef, ok := effect.(admit.Refuse); ok {
+				return ef.Err.Kind == fault.NotReady
+			}
+		}
+		return false
+	}
+	st.Step(RootRead{Epoch: 1}, now)
+	st.Step(answer(1, 1, joinMember("b", 1)), now)
+	st.Step(joinOffer(is, 1), now)
+	st.Step(UpstreamAnnounced{Announcement: Announcement{Service: "intake", Slots: 10, Connections: 10}}, now)
+	st.Step(Tick{}, now)
+	is.True(!refused(st.Step(admit.Arrived{Work: work(1)}, now)))
+
+	now = now.Add(pauseLimit + time.Second)
+	effects := st.Step(admit.Arrived{Work: work(2)}, now)
+	is.True(refused(effects)) // even before the first tick
+	is.True(!st.Ready())
+	st.Step(UpstreamAnnounced{Announcement: Announcement{Service: "intake", Slots: 10, Connections: 10}}, now)
+	st.Step(RootRead{Epoch: 2, Version: 1}, now)
+	st.Step(answer(1, 1, joinMember("b", 1)), now) // sent before the pause
+	is.True(refused(st.Step(admit.Arrived{Work: work(3)}, now)))
+	is.True(st.Fleet().Self().Incarnation > 1)
+	st.Step(answer(2, 1, joinMember("b", 1)), now)
+	is.True(st.Ready())
+	is.True(!refused(st.Step(admit.Arrived{Work: work(4)}, now)))
+}
--- a/fleet/delegate.go
+++ b/fleet/delegate.go
@@ -32,7 +32,7 @@
 // started with it.
 func (tb *Table) settle(now time.Time) {
 	size := len(tb.contacts.items) + 1
-	if size > tb.timing.size+tb.timing.size/growthShare {
+	if !tb.joining.done || size > tb.timing.size+tb.timing.size/growthShare {
 		tb.timing.size, tb.timing.grown = size, now
 	}
 	settled := now.Sub(tb.timing.grown) >= settleTime
--- /dev/null
+++ b/node/directory_test.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiamill.example/sequoiamill/core"
+	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/plat"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+func testNode(is *is.I, store *plat.Store, id types.InstanceID) *Node {
+	is.Helper()
+	const anyPort = "127.0.0.1:0"
+	nd, err := New(Settings{
+		Instance: id, Zone: "kolkata", Listen: anyPort, PeerListen: anyPort, AdminListen: anyPort,
+		MaxBody: 1, StopLimit: time.Second, Policies: core.DefaultPolicies(), Keys: flow.DefaultKeyLimits(),
+	}, store)
+	is.NoErr(err)
+	return nd
+}
+
+func records(is *is.I, store *plat.Store) []plat.Object {
+	is.Helper()
+	objects, err := store.List(context.Background(), plat.RecordKind)
+	is.NoErr(err)
+	return objects
+}
+
+func TestStaleRecordsAreRemovedUnlessWrittenSince(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := plat.NewMemory().Store()
+	gone, live, delegate := testNode(is, store, "gone"), testNode(is, store, "live"), testNode(is, store, "delegate")
+	for _, nd := range []*Node{gone, live, delegate} {
+		is.NoErr(nd.writeRecord(ctx))
+	}
+	started := delegate.now()
+	now := started
+	delegate.now, delegate.loop.now = func() time.Time { return now }, func() time.Time { return now }
+	message := fleet.Message{From: "live", Full: true, Members: []fleet.Member{
+		{ID: "live", Status: fleet.Alive, Address: live.PeerAddress(), Started: started},
+		{ID: "gone", Status: fleet.Dead, Address: gone.PeerAddress(), Started: started},
+	}}
+	delegate.loop.post(fleet.ExchangeAnswered{Peer: "live", Epoch: 1, Message: message})
+
+	delegate.removeStale(ctx, records(is, store))
+	is.Equal(len(records(is, store)), 3) // not gone for long
+
+	read := records(is, store)
+	now = now.Add(staleAfter + time.Minute)
+	again := testNode(is, store, "gone")
+	is.NoErr(again.writeRecord(ctx)) // while the delegate was paused
+	delegate.removeStale(ctx, read)
+	is.Equal(len(records(is, store)), 3)
+
+	delegate.removeStale(ctx, records(is, store))
+	is.Equal(len(records(is, store)), 2)
+}
+
+func TestOnlyItsOwnRecordIsRemovedOnLeave(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := plat.NewMemory().Store()
+	old, fresh := testNode(is, store, "a"), testNode(is, store, "a")
+	is.NoErr(old.writeRecord(ctx))
+	is.NoErr(fresh.writeRecord(ctx))
+	is.NoErr(old.leave(ctx))
+	is.Equal(len(records(is, store)), 1) // the later process wrote it
+	is.NoErr(fresh.leave(ctx))
+	is.Equal(len(records(is, store)), 0)
+}
+
+func TestPullsServedAtOnceAreBounded(t *testing.T) {
+	is := is.New(t)
+	nd := testNode(is, plat.NewMemory().Store(), "a")
+	for range maxPulls {
+		nd.pulls <- struct{}{}
+	}
+	_, err := nd.servePull()
+	is.True(err != nil)
+	<-nd.pulls
+	_, err = nd.servePull()
+	is.NoErr(err)
+}
--- a/node/platform.go
+++ b/node/platform.go
@@ -18,7 +18,7 @@
 
 const (
 	platformPause    = 500 * time.Millisecond
-	maxPlatformPause = 30 * time.Second
+	maxPlatformPause = 8 * time.Second
 	platformTimeout  = 5 * time.Second
 	// fetchTimeout bounds the reads of all bodies that a root names.
 	fetchTimeout = time.Minute
--- a/script/script_test.go
+++ b/script/script_test.go
@@ -31,6 +31,7 @@
 		"load":        load,
 		"callers":     callers,
 		"get":         get,
+		"post":        post,
 		"eventually":  eventually,
 		"link":        link,
 	})
@@ -46,19 +47,28 @@
 
 var signals = map[string]os.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
 
-// sendSignal signals the background process whose arguments hold a text.
+// sendSignal signals the background process whose arguments hold all texts. It
+// returns when a killed process is gone.
 func sendSignal(ts *testscript.TestScript, _ bool, args []string) {
-	const want = 2
-	if len(args) != want || signals[args[0]] == nil {
-		ts.Fatalf("usage: signal TERM|KILL|STOP|CONT arguments")
+	const least = 2
+	if len(args) < least || signals[args[0]] == nil {
+		ts.Fatalf("usage: signal TERM|KILL|STOP|CONT arguments...")
 	}
 	for _, cmd := range ts.BackgroundCmds() {
-		if strings.Contains(strings.Join(cmd.Args, " ")+" ", args[1]+" ") {
+		line := strings.Join(cmd.Args, " ") + " "
+		found := true
+		for _, text := range args[1:] {
+			found = found && strings.Contains(line, text+" ")
+		}
+		if found {
 			ts.Check(cmd.Process.Signal(signals[args[0]]))
+			for args[0] == "KILL" && cmd.Process.Signal(syscall.Signal(0)) == nil {
+				time.Sleep(time.Millisecond)
+			}
 			return
 		}
 	}
-	ts.Fatalf("no background process has the arguments %q", args[1])
+	ts.Fatalf("no background process has the arguments %q", args[1:])
 }
 
 // setup gives each scenario free loopback addresses as $A0 to $A19, and nodes
@@ -134,6 +144,17 @@
 	fmt.Printf("%s\n%s\n", response.Status, body)
 }
 
+// post sends JSON to a URL.
+func post() {
+	response, err := http.Post(os.Args[1], "application/json", strings.NewReader(os.Args[2]))
+	if err != nil {
+		fail("%v", err)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		fail("%s", response.Status)
+	}
+}
+
 // eventually repeats a command line until its output holds a text.
 func eventually() {
 	want, args := os.Args[1], os.Args[2:]
