--- a/admin/publish.go
+++ b/admin/publish.go
@@ -9,6 +9,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"sequoiamill.example/sequoiamill/codec"
@@ -18,10 +20,7 @@
 	"sequoiamill.example/sequoiamill/types"
 )
 
-const (
-	readBackTries = 5
-	readBackPause = 100 * time.Millisecond
-)
+const maxChangeID = 128
 
 // Change is what an operator wants published.
 type Change struct {
@@ -44,170 +43,200 @@
 // Publisher makes new versions in the platform.
 type Publisher struct {
 	store *plat.Store
+	held  func() conf.Bundle
+	floor func() types.Version
+	now   func() time.Time
+	// pause waits and reports whether the context still lasts.
+	pause func(ctx context.Context, wait time.Duration) bool
+}
+
+// Option changes a setting of a publisher.
+type Option func(*Publisher)
+
+// WithHeld sets where the publisher finds bodies that need not be read.
+func WithHeld(held func() conf.Bundle) Option {
+	return func(pb *Publisher) { pb.held = held }
+}
+
+// WithFloor sets where the publisher learns the highest version that any node
+// holds. New versions are above it, also if the platform's root went back.
+func WithFloor(floor func() types.Version) Option {
+	return func(pb *Publisher) { pb.floor = floor }
+}
+
+// WithNow sets the source of the present time.
+func WithNow(now func() time.Time) Option {
+	return func(pb *Publisher) { pb.now = now }
+}
+
+// WithPause sets how the publisher waits between two tries.
+func WithPause(pause func(ctx context.Context, wait time.Duration) bool) Option {
+	return func(pb *Publisher) { pb.pause = pause }
 }
 
 // NewPublisher returns a publisher to a store.
-func NewPublisher(store *plat.Store) *Publisher { return &Publisher{store: store} }
+func NewPublisher(store *plat.Store, opts ...Option) *Publisher {
+	pb := &Publisher{
+		store: store,
+		held:  func() conf.Bundle { return conf.Bundle{} },
+		floor: func() types.Version { return 0 },
+		now:   time.Now,
+		pause: pause,
+	}
+	for _, opt := range opts {
+		opt(pb)
+	}
+	return pb
+}
+
+// stored is what the platform holds at the start of a change. The packs are
+// listed after the root was read.
+type stored struct {
+	object plat.Object
+	root   conf.Root
+	packs  map[types.Hash]plat.Object
+}
 
 // Publish makes one new version of a change or none at all. A change that was
-// accepted before gives its first result.
+// accepted before gives its first result, whatever its base version is now.
+// The platform remembers the latest 64 changes. An older one is a new change,
+// and its base version refuses it, since that is no longer the current one.
 func (pb *Publisher) Publish(ctx context.Context, change Change) (Accepted, error) {
-	if change.ID == "" {
-		return Accepted{}, fault.New(fault.InvalidInput, "the change-id is missing")
+	if change.ID == "" || len(change.ID) > maxChangeID {
+		return Accepted{}, fault.New(fault.InvalidInput, "the change-id must have from 1 to %d characters", maxChangeID)
 	}
-	object, root, err := pb.readRoot(ctx)
+	content, err := codec.HashChange(change.Config, change.Replace, change.Delete)
+	if err != nil {
+		return Accepted{}, err
+	}
+	object, root, err := pb.base(ctx)
 	if err != nil {
 		return Accepted{}, err
 	}
-	if version, ok := root.ByChange(change.ID); ok {
-		return Accepted{Version: version, Repeated: true}, nil
+	if accepted, ok, err := repeated(root, change.ID, content); ok {
+		return accepted, err
 	}
 	if root.Version != change.Base {
 		return Accepted{}, conflict(change.Base, root.Version)
 	}
-	bundle, err := pb.prepare(ctx, root, change)
+	before := stored{object: object, root: root}
+	if before.packs, err = pb.listPacks(ctx); err != nil {
+		return Accepted{}, err
+	}
+	bundle, packs, err := pb.prepare(before, change, content)
 	if err != nil {
 		return Accepted{}, err
 	}
-	if err := pb.writeBodies(ctx, bundle, root); err != nil {
+	if err := pb.writePacks(ctx, before, packs); err != nil {
 		return Accepted{}, err
 	}
-	return pb.commit(ctx, object.WithBody(bundle.RootBody), change, root.Version+1)
+	accepted, err := pb.commit(ctx, object.WithBody(bundle.RootBody), change, content)
+	if err == nil {
+		pb.deletePacks(ctx, before, bundle)
+	}
+	return accepted, err
 }
 
-// Read returns the configuration that the platform holds.
-func (pb *Publisher) Read(ctx context.Context) (conf.Snapshot, error) {
+// base returns the root that a change is based on. A root that can't be read
+// is replaced by the one in force here, if no node holds a later version.
+func (pb *Publisher) base(ctx context.Context) (plat.Object, conf.Root, error) {
 	object, root, err := pb.readRoot(ctx)
-	if err != nil {
-		return conf.Snapshot{}, err
+	if !fault.Is(err, fault.ConfigRefused) {
+		return object, root, err
 	}
-	if root.Version == 0 {
-		return conf.Snapshot{}, nil
+	held, heldErr := codec.ReadRoot(pb.held().RootBody)
+	if heldErr != nil || held.Version < pb.floor() {
+		return object, root, err
 	}
-	bundle, err := FetchBundle(ctx, pb.store, object.Body, conf.Bundle{})
-	if err != nil {
-		return conf.Snapshot{}, err
+	return object, held, nil
+}
+
+// repeated returns the first result of a change. A change-id that stands for
+// another content is KeyReused.
+func repeated(root conf.Root, id types.ChangeID, content types.Hash) (Accepted, bool, error) {
+	known, ok := root.ByChange(id)
+	switch {
+	case !ok:
+		return Accepted{}, false, nil
+	case known.Content != content:
+		return Accepted{}, true, fault.New(fault.KeyReused, "change-id %s made version %d of another content", id, known.Version)
 	}
-	return codec.Open(bundle)
+	return Accepted{Version: known.Version, Repeated: true}, true, nil
 }
 
 func conflict(base, current types.Version) error {
 	return fault.New(fault.VersionConflict, "the change is based on version %d, the current version is %d", base, current)
 }
 
-func (pb *Publisher) readRoot(ctx context.Context) (plat.Object, conf.Root, error) {
-	object, err := pb.store.Get(ctx, plat.RootName)
-	if fault.Is(err, fault.NotFound) {
-		return plat.Object{Name: plat.RootName}, conf.Root{}, nil
-	}
+// prepare returns the next version, validated in the form that nodes read, and
+// the packs to write for it.
+func (pb *Publisher) prepare(before stored, change Change, content types.Hash) (conf.Bundle, []conf.Pack, error) {
+	config, err := pb.merge(before, change)
 	if err != nil {
-		return plat.Object{}, conf.Root{}, err
-	}
-	root, err := codec.ReadRoot(object.Body)
-	return object, root, err
-}
-
-func (pb *Publisher) prepare(ctx context.Context, root conf.Root, change Change) (conf.Bundle, error) {
-	config := change.Config
-	if !change.Replace {
-		current, err := pb.Read(ctx)
-		if err != nil {
-			return conf.Bundle{}, err
-		}
-		config = current.Config().Merge(change.Config, change.Delete)
+		return conf.Bundle{}, nil, err
 	}
 	if err := conf.Validate(config); err != nil {
-		return conf.Bundle{}, err
+		return conf.Bundle{}, nil, err
 	}
-	next := root.Next(change.ID)
+	newest := before.root
+	newest.Version = max(newest.Version, pb.floor())
+	next := newest.Next(change.ID, content, slices.Collect(maps.Keys(before.packs)), pb.now())
 	bundle, err := codec.Seal(next, config)
 	if err != nil {
-		return conf.Bundle{}, err
+		return conf.Bundle{}, nil, err
+	}
+	bundle, packs, err := codec.Pack(bundle, before.root.WithPacks(before.intact()))
+	if err != nil {
+		return conf.Bundle{}, nil, err
 	}
 	_, err = codec.Open(bundle)
-	return bundle, err
+	return bundle, packs, err
 }
 
-func (pb *Publisher) writeBodies(ctx context.Context, bundle conf.Bundle, root conf.Root) error {
-	stored := map[types.Hash]bool{}
-	for _, entry := range root.Entries {
-		stored[entry.Hash] = true
-	}
-	for hash, body := range bundle.Bodies {
-		if stored[hash] {
-			continue
-		}
-		object := plat.Object{Name: plat.Name{Kind: plat.BodyKind, Name: string(hash)}, Body: body}
-		if _, err := pb.store.Put(ctx, object); err != nil && !fault.Is(err, fault.VersionConflict) {
-			return err
+func (pb *Publisher) merge(before stored, change Change) (conf.Config, error) {
+	if change.Replace {
+		if len(change.Delete) > 0 {
+			return conf.Config{}, fault.New(fault.InvalidInput, "a change that replaces all resources names none to delete")
 		}
+		return change.Config, nil
 	}
-	return nil
-}
-
-func (pb *Publisher) commit(ctx context.Context, object plat.Object, change Change, version types.Version) (Accepted, error) {
-	_, err := pb.store.Put(ctx, object)
-	switch {
-	case err == nil:
-		return Accepted{Version: version}, nil
-	case fault.Is(err, fault.VersionConflict), fault.Is(err, fault.PlatformUnavailable):
-		return pb.readBack(ctx, change, err)
-	default:
-		return Accepted{}, err
+	known := map[conf.Key]bool{}
+	for _, entry := range before.root.Entries {
+		known[entry.Key] = true
 	}
-}
-
-// readBack learns whether a root write whose answer is not known took effect.
-func (pb *Publisher) readBack(ctx context.Context, change Change, cause error) (Accepted, error) {
-	for range readBackTries {
-		_, root, err := pb.readRoot(ctx)
-		if err != nil {
-			if !pause(ctx, readBackPause) {
-				break
-			}
-			continue
-		}
-		if version, ok := root.ByChange(change.ID); ok {
-			return Accepted{Version: version}, nil
+	for _, key := range change.Delete {
+		if !known[key] {
+			return conf.Config{}, fault.New(fault.NotFound, "%s %q is not in version %d", key.Kind, key.Name, before.root.Version)
 		}
-		if root.Version != change.Base {
-			return Accepted{}, conflict(change.Base, root.Version)
-		}
-		return Accepted{}, cause
 	}
-	return Accepted{}, fault.New(fault.OutcomeUnknown, "the platform did not say whether change %s was accepted: %v", change.ID, cause)
+	if before.root.Version == 0 {
+		return change.Config, nil
+	}
+	snap, err := before.open(pb.held())
+	if err != nil {
+		return conf.Config{}, err
+	}
+	return snap.Config().Merge(change.Config, change.Delete), nil
 }
 
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+// intact returns the stored packs that have the content that their names say.
+func (sd stored) intact() types.Set[types.Hash] {
+	var hashes []types.Hash
+	for hash, object := range sd.packs {
+		if codec.HashOf(object.Body) == hash {
+			hashes = append(hashes, hash)
+		}
 	}
+	return types.NewSet(hashes...)
 }
 
-// FetchBundle reads the bodies that a root names and held does not hold.
-func FetchBundle(ctx context.Context, store *plat.Store, rootBody []byte, held conf.Bundle) (conf.Bundle, error) {
-	root, err := codec.ReadRoot(rootBody)
-	if err != nil {
-		return conf.Bundle{}, err
-	}
-	bundle := codec.FillBundle(conf.Bundle{RootBody: rootBody, Bodies: map[types.Hash][]byte{}}, held)
-	for _, entry := range root.Entries {
-		if _, ok := bundle.Bodies[entry.Hash]; ok {
-			continue
-		}
-		object, err := store.Get(ctx, plat.Name{Kind: plat.BodyKind, Name: string(entry.Hash)})
-		if fault.Is(err, fault.NotFound) {
-			return conf.Bundle{}, fault.New(fault.ConfigRefused, "%s %q: body %s is missing", entry.Key.Kind, entry.Key.Name, entry.Hash)
-		}
-		if err != nil {
-			return conf.Bundle{}, err
+// open decodes the version that the platform holds.
+func (sd stored) open(held conf.Bundle) (conf.Snapshot, error) {
+	bundle := conf.Bundle{RootBody: sd.object.Body, Bodies: map[types.Hash][]byte{}}
+	for _, hash := range sd.root.Packs().Sorted() {
+		if pack, err := codec.ReadPack(sd.packs[hash].Body, hash); err == nil {
+			maps.Copy(bundle.Bodies, pack.Bodies)
 		}
-		bundle.Bodies[entry.Hash] = object.Body
 	}
-	return bundle, nil
+	return codec.Open(codec.FillBundle(bundle, held))
 }
--- a/admin/server.go
+++ b/admin/server.go
@@ -16,7 +16,11 @@
 	"sequoiamill.example/sequoiamill/types"
 )
 
-const waitInterval = 100 * time.Millisecond
+const (
+	waitInterval = 100 * time.Millisecond
+	// publishTimeout bounds a change or a read of the platform.
+	publishTimeout = 5 * time.Second
+)
 
 // View is what a node knows of itself and the fleet.
 type View struct {
@@ -27,6 +31,15 @@
 	Members []fleet.Member
 }
 
+// Highest returns the highest version that a node is known to hold.
+func (v View) Highest() types.Version {
+	highest := max(v.Version, v.Floor)
+	for _, member := range v.Members {
+		highest = max(highest, member.Held)
+	}
+	return highest
+}
+
 // Service is what the operators' interface needs of its node.
 type Service struct {
 	Publisher *Publisher
@@ -48,6 +61,8 @@
 
 // Get returns the configuration that the platform holds.
 func (sv *server) Get(ctx context.Context, _ *connect.Request[opsv1.GetRequest]) (*connect.Response[opsv1.GetResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
 	snap, err := sv.service.Publisher.Read(ctx)
 	if err != nil {
 		return nil, codec.FaultToRPC(err)
@@ -65,6 +80,8 @@
 	if err != nil {
 		return nil, codec.FaultToRPC(err)
 	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
 	accepted, err := sv.service.Publisher.Publish(ctx, change)
 	if err != nil {
 		return nil, codec.FaultToRPC(err)
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -49,12 +49,18 @@
 	is.True(math.Abs(line.Slope-0.1) < 1e-9)
 	is.True(math.Abs(line.At(910)-93) < 1e-6)
 	is.Equal(Fit([]Point{{5, 2}, {5, 4}}), Line{Base: 3})
+	is.Equal(extend([]Point{{10, 4}, {20, 2}}, 910), 3.0)
+	is.Equal(extend([]Point{{10, 2}, {20, 4}}, 910), 182.0)
 }
 
 func TestFigure(t *testing.T) {
 	is := is.New(t)
 	is.Equal(Median([]float64{3, 1, 2}), 2.0)
 	is.Equal(Median([]float64{4, 1, 2, 3}), 2.5)
+	is.Equal(Median([]float64{4, math.NaN(), 2}), 3.0)
+	is.Equal(Figure{Runs: []float64{4, math.NaN(), 2}}.Spread(), "2.00 … 4.00")
+	is.True(math.IsNaN(Outcome{}.Millis(99)))
+	is.True(!strings.Contains(string(barChart([]Figure{{Runs: []float64{math.NaN(), 2}}})), "NaN"))
 	is.Equal(Quantile([]float64{4, 1, 2, 3}, 0.99), 4.0)
 	is.Equal(Quantile([]float64{4, 1, 2, 3}, 0.5), 2.0)
 	is.Equal(Figure{Runs: []float64{1, 2, 3}, Target: AtMost(2)}.Verdict(), "met")
--- a/bench/lab.go
+++ b/bench/lab.go
@@ -6,6 +6,8 @@
 	"io"
 	"math"
 	"os"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -31,6 +33,8 @@
 	mode Mode
 	runs int
 	seed uint64
+	// also holds further variants that every comparison runs.
+	also []Variant
 	// busy holds the load average of the machine after each measurement since
 	// the last report.
 	busy []float64
@@ -59,6 +63,15 @@
 	return func(lb *Lab) { lb.dir = dir }
 }
 
+// WithAlso adds a variant with these flags of the nodes to every comparison.
+func WithAlso(flags ...string) Option {
+	return func(lb *Lab) {
+		if len(flags) > 0 {
+			lb.also = append(lb.also, Variant{Name: strings.Join(flags, " "), Flags: flags})
+		}
+	}
+}
+
 // NewLab returns a lab that prints its tables.
 func NewLab(out io.Writer, opts ...Option) *Lab {
 	lb := &Lab{out: out, mode: Quick, runs: defaultRuns, seed: 1}
@@ -96,9 +109,11 @@
 func (lb *Lab) seedOf(run int) uint64 { return lb.seed + uint64(run) }
 
 func (lb *Lab) report(sh *sheet) error {
-	sh.figures = append(sh.figures, Figure{
-		Experiment: sh.experiment, Layout: sh.layout, Variant: "machine", Name: "load average of a minute", Unit: "processes", Runs: lb.busy,
-	})
+	if len(lb.busy) > 0 {
+		sh.figures = append(sh.figures, Figure{
+			Experiment: sh.experiment, Layout: sh.layout, Variant: "machine", Name: "load average of a minute", Unit: "processes", Runs: lb.busy,
+		})
+	}
 	lb.busy = nil
 	title := sh.experiment + " on " + sh.layout
 	writeTable(lb.out, title, sh.figures)
@@ -117,7 +132,7 @@
 			ft.Stop()
 		}
 	}()
-	for _, variant := range variants {
+	for _, variant := range slices.Concat(variants, lb.also) {
 		ft, err := StartFleet(ctx, layout, variant)
 		if err != nil {
 			return err
--- a/conf/resource.go
+++ b/conf/resource.go
@@ -1,6 +1,8 @@
 package conf
 
 import (
+	"time"
+
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -48,12 +50,22 @@
 type Entry struct {
 	Key  Key
 	Hash types.Hash
+	// Pack is the hash of the stored object that holds the body.
+	Pack types.Hash
 }
 
 // Accepted records the change that made a version.
 type Accepted struct {
 	Change  types.ChangeID
 	Version types.Version
+	// Content is the hash of what the change asked for.
+	Content types.Hash
+}
+
+// Retired is a stored pack that no entry has named since an instant.
+type Retired struct {
+	Pack types.Hash
+	At   time.Time
 }
 
 // Root is the platform's commit point: a version and its resources.
@@ -63,16 +75,21 @@
 	Entries []Entry
 	// Recent lists the latest accepted changes, newest last.
 	Recent []Accepted
+	// Retired lists stored packs that the entries do not name.
+	Retired []Retired
+	// Deleting lists the packs that the writer of this root deletes. They
+	// must not be named again without being stored anew.
+	Deleting []types.Hash
 }
 
-// ByChange returns the version that a recent change made.
-func (r Root) ByChange(id types.ChangeID) (types.Version, bool) {
+// ByChange returns what is known of a recent change.
+func (r Root) ByChange(id types.ChangeID) (Accepted, bool) {
 	for _, accepted := range r.Recent {
 		if accepted.Change == id {
-			return accepted.Version, true
+			return accepted, true
 		}
 	}
-	return 0, false
+	return Accepted{}, false
 }
 
 // Config is a set of resources that is not yet a version.
@@ -81,3 +98,23 @@
 	Routes   []Route
 	Rules    []UpstreamRule
 }
+
+// PackOf returns the pack of each body that the root names.
+func (r Root) PackOf() map[types.Hash]types.Hash {
+	packs := make(map[types.Hash]types.Hash, len(r.Entries))
+	for _, entry := range r.Entries {
+		if entry.Pack != "" {
+			packs[entry.Hash] = entry.Pack
+		}
+	}
+	return packs
+}
+
+// Packs returns the packs that the root names.
+func (r Root) Packs() types.Set[types.Hash] {
+	names := make([]types.Hash, 0, len(r.Entries))
+	for _, entry := range r.Entries {
+		names = append(names, entry.Pack)
+	}
+	return types.NewSet(names...)
+}
--- a/core/keys.go
+++ b/core/keys.go
@@ -23,7 +23,6 @@
 	// left holds when the node ceased to take the work of a service.
 	left        map[types.ServiceName]time.Time
 	incarnation uint64
-	last        time.Time
 	// settled states that the node runs for longer than the margin.
 	settled bool
 }
@@ -36,13 +35,9 @@
 	}
 }
 
-// watchKeys notes, before an event, a pause of the process.
+// watchKeys notes the state before an event.
 func (st *State) watchKeys(now time.Time) {
 	ks := &st.keys
-	if !ks.last.IsZero() && now.Sub(ks.last) > pauseLimit {
-		ks.ledger.Renew(now)
-	}
-	ks.last = now
 	ks.incarnation = st.fleet.Self().Incarnation
 	if !ks.settled {
 		ks.settled = now.Sub(st.fleet.Self().Started) >= ks.limits.Margin
@@ -126,7 +121,7 @@
 }
 
 // nextOwner chooses the owner that a keyed call goes to.
-func (st *State) nextOwner(call flow.Call, passed types.Set[types.InstanceID], _ time.Time) (flow.Choice, *fault.Error) {
+func (st *State) nextOwner(call flow.Call, passed types.Set[types.InstanceID], now time.Time) (flow.Choice, *fault.Error) {
 	limits := st.keys.limits
 	if !limits.Knows(call.Minted, st.fleet.Self().Started) {
 		return flow.Choice{}, fault.New(fault.OutcomeUnknown, "the node started too late to know the key")
@@ -143,7 +138,9 @@
 	if !limits.Knows(call.Minted, first.member.Started) {
 		return flow.Choice{}, fault.New(fault.OutcomeUnknown, "the owner %s of the key started too late to know it", first.member.ID)
 	}
-	return flow.Choice{Target: st.candidate(first.member), Last: len(left) == 1}, nil
+	target := st.candidate(first.member, now)
+	target.Route = call.Route.Name
+	return flow.Choice{Target: target, Last: len(left) == 1}, nil
 }
 
 // withKey returns a call with the canonical form and the age of its key.
@@ -164,12 +161,12 @@
 }
 
 // workCanceled withdraws a work unless its key must be remembered.
-func (st *State) workCanceled(id types.WorkID) []types.Effect {
+func (st *State) workCanceled(id types.WorkID, now time.Time) []types.Effect {
 	effects, withdraw := st.keys.ledger.Canceled(id)
 	if effects != nil || st.keys.ledger.Holds(id) && !withdraw {
 		return effects
 	}
-	return st.gate.Withdraw(id)
+	return st.gate.Withdraw(id, now)
 }
 
 // settleKeys tells the ledger what became of keyed works and lets it answer
@@ -194,3 +191,11 @@
 	}
 	return settled
 }
+
+// Keys returns the number of idempotency keys that the node remembers.
+func (st *State) Keys() int { return st.keys.ledger.Len() }
+
+// Open returns the number of calls and works that are not over.
+func (st *State) Open() int {
+	return st.calls.Len() + st.gate.Running() + st.gate.Queued() + st.keys.ledger.Open()
+}
--- a/core/state.go
+++ b/core/state.go
@@ -23,8 +23,11 @@
 	calls    *flow.Table
 	keys     keys
 	upstream local
-	policies Policies
-	lastTick time.Time
+	openings openings
+	// candidates is reused by each choice of an upstream.
+	candidates []route.Candidate
+	policies   Policies
+	lastTick   time.Time
 	// current is the version of the platform's root when it was last read.
 	current  types.Version
 	watching bool
@@ -79,7 +82,7 @@
 		fleet:    fleet.NewTable(self, rand.New(rand.NewPCG(se.seed, se.seed))),
 		conf:     conf.NewHolder(),
 		balance:  route.NewBalance(se.policies.balance(), route.WithSeed(se.seed)),
-		gate:     admit.NewGate(se.gate...),
+		gate:     admit.NewGate(se.gateOptions()...),
 		keys:     newKeys(se.limits, se.ledger),
 		policies: se.policies,
 		stop:     stop{linger: se.linger},
@@ -143,9 +146,9 @@
 	case admit.Arrived:
 		return st.workArrived(ev.Work, now)
 	case admit.Ended:
-		return append(st.keys.ledger.Ended(ev, now), st.gate.End(ev.ID, ev.Elapsed)...)
+		return append(st.keys.ledger.Ended(ev, now), st.gate.End(ev.ID, ev.Elapsed, now)...)
 	case admit.Canceled:
-		return st.workCanceled(ev.ID)
+		return st.workCanceled(ev.ID, now)
 	default:
 		return nil
 	}
@@ -167,7 +170,7 @@
 	case types.CallHedge:
 		return st.calls.Hedge(timer.Call, now)
 	case types.QueueDeadline:
-		return st.gate.Expire(timer.Work)
+		return st.gate.Expire(timer.Work, now)
 	default:
 		return nil
 	}
--- a/script/script_test.go
+++ b/script/script_test.go
@@ -30,6 +30,8 @@
 		"upstream":    upstream,
 		"load":        load,
 		"callers":     callers,
+		"keys":        keys,
+		"get-tls":     getTLS,
 		"get":         get,
 		"post":        post,
 		"eventually":  eventually,
@@ -75,6 +77,7 @@
 // that do not linger at the end of the scenario.
 func setup(env *testscript.Env) error {
 	env.Setenv("SEQUOIAMILL_STOP_LINGER", "300ms")
+	env.Setenv("SEQUOIAMILL_PLAIN_TEXT", "callers,peers,operators")
 	const ports = 20
 	var listeners []net.Listener
 	for number := range ports {
@@ -120,18 +123,6 @@
 	serve(os.Args[3], relay)
 }
 
-func upstream() {
-	name := flag.String("name", "", "name in the answers")
-	listen := flag.String("listen", "", "address")
-	admin := flag.String("admin", "", "operator address of the node")
-	service := flag.String("service", "", "service")
-	work := flag.Duration("work", 0, "time of each request")
-	flag.Parse()
-	announcement := fakes.Announcement{Service: *service, Address: *listen, Slots: 10, Connections: 100}
-	go fakes.Announce(context.Background(), *admin, announcement, time.Second)
-	serve(*listen, &fakes.Upstream{Name: *name, Work: *work})
-}
-
 func get() {
 	response, err := http.Get(os.Args[1])
 	if err != nil {
@@ -144,15 +135,20 @@
 	fmt.Printf("%s\n%s\n", response.Status, body)
 }
 
-// post sends JSON to a URL.
+// post sends a file, padded with spaces to a size.
 func post() {
-	response, err := http.Post(os.Args[1], "application/json", strings.NewReader(os.Args[2]))
+	size := flag.Int("size", 0, "least size of the body")
+	flag.Parse()
+	body, err := os.ReadFile(flag.Arg(1))
 	if err != nil {
 		fail("%v", err)
 	}
-	if response.StatusCode >= http.StatusMultipleChoices {
-		fail("%s", response.Status)
+	padding := strings.Repeat(" ", max(0, *size-len(body)))
+	response, err := http.Post(flag.Arg(0), "application/json", strings.NewReader(string(body)+padding))
+	if err != nil || response.StatusCode != http.StatusOK {
+		fail("%v %v", response, err)
 	}
+	_ = response.Body.Close()
 }
 
 // eventually repeats a command line until its output holds a text.
