--- /dev/null
+++ b/codec/peer_test.go
@@ -0,0 +1,63 @@
+package codec
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"sequoiamill.example/sequoiamill/api/peerv1"
+	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/trace"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+func peerMessage() fleet.Message {
+	started := time.UnixMilli(1767344400000)
+	upstream := fleet.Upstream{Slots: 10, Connections: 130, WarmUp: 3 * time.Second, ReadyAt: started.Add(time.Second), Leaving: true}
+	return fleet.Message{
+		From: "a", Incarnation: 3, Version: 7, Digest: "digest", View: 11, HeldView: 12, Full: true, Repair: true,
+		Members: []fleet.Member{
+			{
+				ID: "a", Incarnation: 3, Status: fleet.Alive, Address: "10.0.0.1:8081", Zone: "kolkata", Region: "bengal-west",
+				Service: "intake", Upstream: types.Some(upstream), Started: started, Held: 7, Leaving: true,
+			},
+			{ID: "b", Incarnation: 1, Status: fleet.Dead, Held: 6, GoneFor: time.Hour},
+		},
+		Reports:     []fleet.Report{{ID: "b", Held: 6}},
+		Buckets:     []uint64{1, 2},
+		HeldBuckets: []uint64{3, 4},
+	}
+}
+
+func TestPeerMessagesSurviveTheWire(t *testing.T) {
+	is := is.New(t)
+	stamp := trace.Stamp{Wall: time.UnixMicro(1767344400000001), Logical: 5}
+	body, err := proto.Marshal(MessageToProto(peerMessage(), stamp))
+	is.NoErr(err)
+	wire := &peerv1.Message{}
+	is.NoErr(proto.Unmarshal(body, wire))
+	message, seen, err := MessageFromProto(wire)
+	is.NoErr(err)
+	is.Equal(message, peerMessage())
+	is.Equal(seen, stamp)
+}
+
+func TestBadPeerMessagesAreRefused(t *testing.T) {
+	cases := map[string]func(*peerv1.Message){
+		"no sender":        func(wire *peerv1.Message) { wire.From = "" },
+		"no member's name": func(wire *peerv1.Message) { wire.Members[1].Instance = "" },
+		"unknown state":    func(wire *peerv1.Message) { wire.Members[1].State = 9 },
+		"too many reports": func(wire *peerv1.Message) { wire.Reports = make([]*peerv1.Report, maxMembers+1) },
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			wire := MessageToProto(peerMessage(), trace.Stamp{})
+			spoil(wire)
+			_, _, err := MessageFromProto(wire)
+			is.True(err != nil)
+		})
+	}
+}
