Name held bodies by eight bytes in pulls

Cause: A pull sent the whole hexadecimal hash of each body that the asker holds: 66 bytes for each.

Change: The first eight bytes of each hash are sent. Whole hashes are still checked before a configuration is adopted.

Ruled out: Naming the base version only, as the informer would have to keep the hashes of earlier versions.

Conclusion: TestPullBringsOnlyWhatIsLacking shows that one changed body of three travels.

--- a/codec/peer.go
+++ b/codec/peer.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"strconv"
 	"time"
 
 	"sequoiamill.example/sequoiamill/api/peerv1"
@@ -137,11 +138,21 @@
 	return member, nil
 }
 
+// HashPrefix returns the first eight bytes of a hash, or 0 if it is none.
+func HashPrefix(hash types.Hash) uint64 {
+	const digits = 16
+	prefix, err := strconv.ParseUint(string(hash[:min(digits, len(hash))]), 16, 64)
+	if err != nil {
+		return 0
+	}
+	return prefix
+}
+
 // BundleToProto encodes a bundle, leaving out the bodies that the asker holds.
-func BundleToProto(bundle conf.Bundle, held types.Set[types.Hash]) *peerv1.PullResponse {
+func BundleToProto(bundle conf.Bundle, held types.Set[uint64]) *peerv1.PullResponse {
 	wire := &peerv1.PullResponse{Root: bundle.RootBody, Bodies: map[string][]byte{}}
 	for hash, body := range bundle.Bodies {
-		if !held.Has(hash) {
+		if !held.Has(HashPrefix(hash)) {
 			wire.Bodies[string(hash)] = body
 		}
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -83,15 +83,11 @@
 
 // Pull returns the configuration in force.
 func (sv *server) Pull(_ context.Context, request *connect.Request[peerv1.PullRequest]) (*connect.Response[peerv1.PullResponse], error) {
-	held := make([]types.Hash, 0, len(request.Msg.GetHeldHashes()))
-	for _, hash := range request.Msg.GetHeldHashes() {
-		held = append(held, types.Hash(hash))
-	}
 	bundle, err := sv.service.Pull()
 	if err != nil {
 		return nil, codec.FaultToRPC(err)
 	}
-	return connect.NewResponse(codec.BundleToProto(bundle, types.NewSet(held...))), nil
+	return connect.NewResponse(codec.BundleToProto(bundle, types.NewSet(request.Msg.GetHeld()...))), nil
 }
 
 // Client calls peers.
@@ -181,7 +177,7 @@
 func (cl *Client) Pull(ctx context.Context, address types.Address, held conf.Bundle) (conf.Bundle, error) {
 	request := &peerv1.PullRequest{}
 	for hash := range held.Bodies {
-		request.HeldHashes = append(request.HeldHashes, string(hash))
+		request.Held = append(request.Held, codec.HashPrefix(hash))
 	}
 	reply, err := cl.dial(address).Pull(ctx, named(cl, request))
 	if err != nil {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/matryer/is"
 
+	"sequoiamill.example/sequoiamill/codec"
+	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
@@ -51,3 +53,35 @@
 	is.True(received > 0 && answered > received*9/10 && answered < received*11/10) // answers
 	t.Logf("an exchange took %d bytes out and %d in", sent/exchanges, received/exchanges)
 }
+
+func TestPullBringsOnlyWhatIsLacking(t *testing.T) {
+	is := is.New(t)
+	seal := func(names ...types.ServiceName) conf.Bundle {
+		var config conf.Config
+		for _, name := range names {
+			config.Services = append(config.Services, conf.Service{Name: name})
+		}
+		bundle, err := codec.Seal(conf.Root{Version: types.Version(len(names))}, config)
+		is.NoErr(err)
+		return bundle
+	}
+	offered, held := seal("dispatch", "intake", "manuals"), seal("dispatch", "intake")
+	mux := http.NewServeMux()
+	mux.Handle(NewHandler(Service{Pull: func() (conf.Bundle, error) { return offered, nil }}))
+	listener := httptest.NewServer(mux)
+	defer listener.Close()
+	address := types.Address(strings.TrimPrefix(listener.URL, "http://"))
+	cl := NewClient(trace.NewClock(), time.Now)
+
+	pulled, err := cl.Pull(t.Context(), address, held)
+	is.NoErr(err)
+	snap, err := codec.Open(pulled)
+	is.NoErr(err)
+	is.Equal(snap.Version(), types.Version(3))
+	known := make([]uint64, 0, len(held.Bodies))
+	for hash := range held.Bodies {
+		known = append(known, codec.HashPrefix(hash))
+	}
+	bodies := len(codec.BundleToProto(offered, types.NewSet(known...)).GetBodies())
+	is.Equal(bodies, 1)
+}
