Take the ports of scenarios from below those of outgoing connections

Cause: One of the repeated runs of fleet-pause hung: node b was not running. Ports were chosen by listening on port 0 and closing, which gives ports that the system also gives to outgoing connections, so another process can take one before the node listens, or between its end and its restart.

Change: Ports are drawn at random from 10,000 to 32,000, below the range of 32,768 to 60,999 of outgoing connections.

Ruled out: Waiting for the port, as the address is given to other processes beforehand.

Conclusion: The cause is inferred from the process that was missing; its error was not seen, as the run was ended by hand.

--- a/script/script_test.go
+++ b/script/script_test.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -81,10 +82,7 @@
 	const ports = 20
 	var listeners []net.Listener
 	for number := range ports {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
+		listener := listenAnywhere()
 		listeners = append(listeners, listener)
 		env.Setenv(fmt.Sprintf("A%d", number), listener.Addr().String())
 	}
@@ -96,6 +94,19 @@
 	return nil
 }
 
+// listenAnywhere listens on a free port below those that the system gives to
+// outgoing connections, which could take the port before a process listens.
+func listenAnywhere() net.Listener {
+	const lowest, highest = 10_000, 32_000
+	for {
+		port := lowest + rand.IntN(highest-lowest)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return listener
+		}
+	}
+}
+
 func serve(address string, handler http.Handler) {
 	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: time.Minute}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
