--- a/codec/peer.go
+++ b/codec/peer.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"strconv"
 	"time"
 
 	"sequoiamill.example/sequoiamill/api/peerv1"
@@ -28,6 +29,9 @@
 		Full:        message.Full,
 		Stamp:       &peerv1.Stamp{WallMicros: stamp.Wall.UnixMicro(), Logical: stamp.Logical},
 		Buckets:     message.Buckets,
+		HeldBuckets: message.HeldBuckets,
+		HeldView:    message.HeldView,
+		Repair:      message.Repair,
 	}
 	for _, report := range message.Reports {
 		wire.Reports = append(wire.Reports, &peerv1.Report{Instance: string(report.ID), Held: uint64(report.Held)})
@@ -54,6 +58,9 @@
 		View:        wire.GetView(),
 		Full:        wire.GetFull(),
 		Buckets:     wire.GetBuckets(),
+		HeldBuckets: wire.GetHeldBuckets(),
+		HeldView:    wire.GetHeldView(),
+		Repair:      wire.GetRepair(),
 	}
 	for _, item := range wire.GetReports() {
 		message.Reports = append(message.Reports, fleet.Report{ID: types.InstanceID(item.GetInstance()), Held: types.Version(item.GetHeld())})
@@ -137,11 +144,21 @@
 	return time.Duration(min(max(millis, 0), maxWarmUp.Milliseconds())) * time.Millisecond
 }
 
+// HashPrefix returns the first eight bytes of a hash, or 0 if it is none.
+func HashPrefix(hash types.Hash) uint64 {
+	const digits = 16
+	prefix, err := strconv.ParseUint(string(hash[:min(digits, len(hash))]), 16, 64)
+	if err != nil {
+		return 0
+	}
+	return prefix
+}
+
 // BundleToProto encodes a bundle, leaving out the bodies that the asker holds.
-func BundleToProto(bundle conf.Bundle, held types.Set[types.Hash]) *peerv1.PullResponse {
+func BundleToProto(bundle conf.Bundle, held types.Set[uint64]) *peerv1.PullResponse {
 	wire := &peerv1.PullResponse{Root: bundle.RootBody, Bodies: map[string][]byte{}}
 	for hash, body := range bundle.Bodies {
-		if !held.Has(hash) {
+		if !held.Has(HashPrefix(hash)) {
 			wire.Bodies[string(hash)] = body
 		}
 	}
