--- a/fakes/virtual.go
+++ b/farm/virtual.go
@@ -1,12 +1,12 @@
-package fakes
+package farm
 
 import (
 	"container/heap"
 	"time"
 )
 
-// Virtual runs functions in the order of their instants on virtual time.
-type Virtual struct {
+// virtual runs functions in the order of their instants on virtual time.
+type virtual struct {
 	now  time.Time
 	todo agenda
 	next int
@@ -18,20 +18,14 @@
 	run   func()
 }
 
-// NewVirtual returns a virtual time that starts at an instant.
-func NewVirtual(start time.Time) *Virtual { return &Virtual{now: start} }
-
-// Now returns the present instant.
-func (vt *Virtual) Now() time.Time { return vt.now }
-
-// After plans a function for a time after the present one.
-func (vt *Virtual) After(wait time.Duration, run func()) {
+// after plans a function for a time after the present one.
+func (vt *virtual) after(wait time.Duration, run func()) {
 	vt.next++
 	heap.Push(&vt.todo, appointment{at: vt.now.Add(max(wait, 0)), order: vt.next, run: run})
 }
 
-// RunUntil runs all that is planned up to an instant.
-func (vt *Virtual) RunUntil(end time.Time) {
+// runUntil runs all that is planned up to an instant.
+func (vt *virtual) runUntil(end time.Time) {
 	for len(vt.todo) > 0 && !vt.todo[0].at.After(end) {
 		next := heap.Pop(&vt.todo).(appointment)
 		vt.now = next.at
