Bound the queue by the slots that are not held by stragglers

Cause: while stragglers hold most slots, twenty waiting works take many times longer to drain, and short work waited where another upstream had free slots.

Change: the room of the queue shrinks with the share of the slots that long work and stragglers hold.

Ruled out: a shorter queue at all times, which serves less important work in a swing of demand.

--- a/admit/shed.go
+++ b/admit/shed.go
@@ -24,16 +24,20 @@
 
 // room returns how many works may wait for one more to join.
 func (gt *Gate) room(waiting Waiting, now time.Time) int {
+	most := gt.queueMax
+	if !waiting.Long {
+		most = max(1, gt.queueMax*(gt.slots-gt.held(now))/max(gt.slots, 1))
+	}
 	if waiting.Long || gt.queued(false) == 0 || now.Sub(gt.contended) < sustained {
-		return gt.queueMax
+		return most
 	}
 	switch waiting.Work.Importance {
 	case conf.Critical, conf.High:
-		return gt.queueMax
+		return most
 	case conf.Normal:
-		return max(1, int(normalShare*float64(gt.queueMax)))
+		return max(1, int(normalShare*float64(most)))
 	default:
-		return max(1, int(lowShare*float64(gt.queueMax)))
+		return max(1, int(lowShare*float64(most)))
 	}
 }
 
