--- a/script/script_test.go
+++ b/script/script_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -29,7 +30,10 @@
 		"upstream":    upstream,
 		"load":        load,
 		"callers":     callers,
+		"keys":        keys,
+		"get-tls":     getTLS,
 		"get":         get,
+		"post":        post,
 		"eventually":  eventually,
 		"link":        link,
 	})
@@ -64,6 +68,7 @@
 // that do not linger at the end of the scenario.
 func setup(env *testscript.Env) error {
 	env.Setenv("SEQUOIAMILL_STOP_LINGER", "300ms")
+	env.Setenv("SEQUOIAMILL_PLAIN_TEXT", "callers,peers,operators")
 	const ports = 20
 	var listeners []net.Listener
 	for number := range ports {
@@ -121,6 +126,22 @@
 	fmt.Printf("%s\n%s\n", response.Status, body)
 }
 
+// post sends a file, padded with spaces to a size.
+func post() {
+	size := flag.Int("size", 0, "least size of the body")
+	flag.Parse()
+	body, err := os.ReadFile(flag.Arg(1))
+	if err != nil {
+		fail("%v", err)
+	}
+	padding := strings.Repeat(" ", max(0, *size-len(body)))
+	response, err := http.Post(flag.Arg(0), "application/json", strings.NewReader(string(body)+padding))
+	if err != nil || response.StatusCode != http.StatusOK {
+		fail("%v %v", response, err)
+	}
+	_ = response.Body.Close()
+}
+
 // eventually repeats a command line until its output holds a text.
 func eventually() {
 	want, args := os.Args[1], os.Args[2:]
