Count an unreached owner as a failure of its upstream

Cause: an attempt that reached no owner, or an owner that reached no upstream, was a refusal to the balance, so each entry went on choosing a dead node until the membership noticed.

Change: such attempts are failures.

Ruled out: waiting for the membership, which takes seconds.

--- a/core/policy_test.go
+++ b/core/policy_test.go
@@ -173,6 +173,37 @@
 	}
 }
 
+// TestUnreachableOwnerIsAvoided lets the node of one upstream be gone while its
+// record still says that it lives, and another be without its upstream.
+func TestUnreachableOwnerIsAvoided(t *testing.T) {
+	check := is.New(t)
+	sg := newSingle(t, 1, 5)
+	const calls = 200
+	bad := 0
+	for id := types.CallID(1); id <= calls; id++ {
+		sg.now = sg.now.Add(10 * time.Millisecond)
+		effects := sg.step(flow.CallArrived{Call: id, Request: "r", Target: route.Request{Method: "GET", Path: "/s0"}})
+		for at := 0; at < len(effects); at++ {
+			attempt, ok := effects[at].(flow.StartAttempt)
+			if !ok {
+				continue
+			}
+			ended := flow.AttemptEnded{Call: id, Attempt: attempt.Attempt, Verdict: flow.Answered, Elapsed: time.Millisecond}
+			switch attempt.Target.ID {
+			case "i1":
+				ended.Verdict, ended.Err = flow.Unsent, fault.New(fault.Unreachable, "connect to the node")
+			case "i2":
+				ended.Verdict, ended.Err = flow.NotRun, fault.New(fault.Unreachable, "connect to the upstream")
+			}
+			if ended.Verdict != flow.Answered && id > calls/2 {
+				bad++
+			}
+			effects = append(effects, sg.step(ended)...)
+		}
+	}
+	check.True(bad < calls/20) // a few probes are left
+}
+
 func TestQueueKinds(t *testing.T) {
 	for kind, want := range map[core.QueueKind]int{core.QueueShed: 10, core.QueueFIFO: 10, core.QueueNone: 40} {
 		t.Run(string(kind), func(t *testing.T) {
--- a/flow/finish.go
+++ b/flow/finish.go
@@ -70,13 +70,16 @@
 	return fault.New(fault.OutcomeUnknown, "the work was sent and may have run: %s", cause.Message)
 }
 
+// sampleOf tells the balance of an attempt. An owner or an upstream that could
+// not be reached has failed; it did not refuse.
 func sampleOf(target route.Candidate, event AttemptEnded) route.Sample {
+	unreached := event.Verdict == Unsent || event.Err != nil && event.Err.Kind == fault.Unreachable
 	return route.Sample{
 		ID:      target.ID,
 		Route:   target.Route,
 		Elapsed: event.Elapsed,
 		Load:    event.Load,
-		Refused: event.Verdict == NotRun || event.Verdict == Unsent,
-		Failed:  event.Verdict == Lost,
+		Refused: event.Verdict == NotRun && !unreached,
+		Failed:  event.Verdict == Lost || unreached,
 	}
 }
