Never run work after its deadline

Cause: work that came late found a free slot, and queued work whose timer was late was run for nobody.

Change: both are refused as not run.

Ruled out: refusing also what would probably end too late when a slot is free; the estimate may be wrong and the slot is idle.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -116,6 +116,9 @@
 
 // Arrive runs, queues or refuses a work.
 func (gt *Gate) Arrive(work Work, now time.Time) []types.Effect {
+	if gt.mode == shedding && !now.Before(work.Deadline) {
+		return gt.late(work)
+	}
 	waiting := gt.expect(work, now)
 	if !waiting.Long {
 		gt.shortSeen = now
--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -143,6 +143,9 @@
 		case admit.Dispatch:
 			le.decide(ef.Work.ID, "dispatch")
 			le.running = append(le.running, ef.Work.ID)
+			if !le.now.Before(ef.Work.Deadline) {
+				le.t.Fatalf("work %d runs after its deadline", ef.Work.ID)
+			}
 			if len(le.running) > le.slots {
 				le.t.Fatalf("%d works run in %d slots", len(le.running), le.slots)
 			}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -54,6 +54,11 @@
 			break
 		}
 		waiting := gt.queue[at]
+		if gt.mode == shedding && !now.Before(waiting.Work.Deadline) {
+			gt.remove(at)
+			effects = append(effects, gt.late(waiting.Work)...)
+			continue
+		}
 		if gt.mode == shedding && gt.discipline.Drop != nil && gt.discipline.Drop(waiting, len(gt.queue), now) {
 			gt.remove(at)
 			effects = append(effects, gt.refuse(waiting.Work, now, "it waited too long")...)
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -108,6 +108,12 @@
 	return []types.Effect{trace.Count{Counter: trace.WorkShed}, Refuse{Work: work, Err: gt.overloaded(now, reason)}}
 }
 
+// late refuses a work whose deadline has passed.
+func (gt *Gate) late(work Work) []types.Effect {
+	err := fault.New(fault.DeadlineExceeded, "the deadline came before a slot was free")
+	return []types.Effect{trace.Count{Counter: trace.WorkShed}, Refuse{Work: work, Err: err}}
+}
+
 // overloaded returns the error of a refusal and counts the work as one that
 // is to come back.
 func (gt *Gate) overloaded(now time.Time, reason string) *fault.Error {
