Keep an ejection when a retry has no sibling to compare with

Cause: a retry with one upstream left lifted that one's ejection.

Change: a single candidate is not judged.

Ruled out: nothing.

Figures: TestRetryKeepsEjection failed first.

--- a/route/balance_test.go
+++ b/route/balance_test.go
@@ -154,6 +154,30 @@
 	})
 }
 
+// TestRetryKeepsEjection retries a call that only an ejected upstream is left
+// for.
+func TestRetryKeepsEjection(t *testing.T) {
+	check := is.New(t)
+	se := &session{balance: route.NewBalance(route.Adaptive()), now: time.Unix(1000, 0)}
+	for at := range 3 {
+		se.candidates = append(se.candidates, route.Candidate{ID: types.InstanceID(fmt.Sprint(at)), SameZone: true, Slots: 10})
+	}
+	for number := range 30 {
+		target := se.candidates[number%3]
+		elapsed := 10 * time.Millisecond
+		if target.ID == "0" {
+			elapsed = 60 * time.Millisecond
+		}
+		se.balance.Began(target, se.now)
+		se.balance.Ended(route.Sample{ID: target.ID, Elapsed: elapsed}, se.now)
+	}
+	check.True(se.pick("", burst)["0"] == 0)
+	target, ok := se.balance.Pick("", se.candidates[:1], se.now)
+	check.True(ok && target.ID == "0")
+	se.now = se.now.Add(2 * time.Second)
+	check.True(se.pick("", burst)["0"] == 0) // its slowness is still above the limit of return
+}
+
 func TestStatesAreBounded(t *testing.T) {
 	check := is.New(t)
 	balance := route.NewBalance(route.Adaptive())
--- a/route/eject.go
+++ b/route/eject.go
@@ -44,8 +44,12 @@
 	}
 }
 
-// eject marks the slowest candidates, at most half of them.
+// eject marks the slowest candidates, at most half of them. A single one tells
+// nothing of its siblings.
 func eject(ratings []Rating) {
+	if len(ratings) < 2 {
+		return
+	}
 	var buffer [maxChoices]int
 	slow := buffer[:0]
 	for at, rating := range ratings {
