--- a/admit/shed.go
+++ b/admit/shed.go
@@ -24,16 +24,20 @@
 
 // room returns how many works may wait for one more to join.
 func (gt *Gate) room(waiting Waiting, now time.Time) int {
+	most := gt.queueMax
+	if !waiting.Long {
+		most = max(1, gt.queueMax*(gt.slots-gt.held(now))/max(gt.slots, 1))
+	}
 	if waiting.Long || gt.queued(false) == 0 || now.Sub(gt.contended) < sustained {
-		return gt.queueMax
+		return most
 	}
 	switch waiting.Work.Importance {
 	case conf.Critical, conf.High:
-		return gt.queueMax
+		return most
 	case conf.Normal:
-		return max(1, int(normalShare*float64(gt.queueMax)))
+		return max(1, int(normalShare*float64(most)))
 	default:
-		return max(1, int(lowShare*float64(gt.queueMax)))
+		return max(1, int(lowShare*float64(most)))
 	}
 }
 
@@ -104,6 +108,12 @@
 	return []types.Effect{trace.Count{Counter: trace.WorkShed}, Refuse{Work: work, Err: gt.overloaded(now, reason)}}
 }
 
+// late refuses a work whose deadline has passed.
+func (gt *Gate) late(work Work) []types.Effect {
+	err := fault.New(fault.DeadlineExceeded, "the deadline came before a slot was free")
+	return []types.Effect{trace.Count{Counter: trace.WorkShed}, Refuse{Work: work, Err: err}}
+}
+
 // overloaded returns the error of a refusal and counts the work as one that
 // is to come back.
 func (gt *Gate) overloaded(now time.Time, reason string) *fault.Error {
