Check bookings with keys while owners are killed, paused and stopped

Cause: no run of whole processes showed that a key runs at most once, or how callers see broken answers.

Change: the command once sends each key through two nodes at once and again while unknown, and compares the outcomes with the runs that the upstreams counted; calls-once.txtar kills, replaces, pauses and stops owners meanwhile; calls-answers.txtar sends each broken answer through two nodes.

--- a/script/script_test.go
+++ b/script/script_test.go
@@ -28,6 +28,8 @@
 		"platform":    platform,
 		"upstream":    upstream,
 		"load":        load,
+		"once":        once,
+		"send":        send,
 		"callers":     callers,
 		"keys":        keys,
 		"get-tls":     getTLS,
