Rename the test harness of reducers that exchange work

Cause: after the merge two test files of core declared a type mesh, so that the package's tests did not build.

Change: the harness of TestAtMostOnce is named shuffle.

--- a/core/mesh_test.go
+++ b/core/shuffle_test.go
@@ -56,190 +56,190 @@
 	}
 }
 
-// mesh is a few reducers that exchange work through a list of pending steps,
+// shuffle is a few reducers that exchange work through a list of pending steps,
 // which the test takes in any order.
-type mesh struct {
+type shuffle struct {
 	now     time.Time
-	nodes   []*meshNode
+	nodes   []*shuffleNode
 	pending []func()
-	calls   []*meshCall
-	works   map[types.WorkID]*meshWork
+	calls   []*shuffleCall
+	works   map[types.WorkID]*shuffleWork
 	keyRuns map[types.Key]int
 	// choose decides what happens and order which pending step comes next.
 	choose, order func(limit int) int
 	faults        []string
 }
 
-type meshNode struct {
+type shuffleNode struct {
 	state   *core.State
 	process int
 }
 
-type meshCall struct {
+type shuffleCall struct {
 	node, process int
 	event         flow.CallArrived
 	ends, runs    int
 }
 
-type meshWork struct {
+type shuffleWork struct {
 	id            types.WorkID
 	node, process int
-	call          *meshCall
+	call          *shuffleCall
 	attempt       int
 	work          admit.Work
 	kept, settled bool
 }
 
-func newMesh(size int, choose func(limit int) int) *mesh {
-	ms := &mesh{now: epoch, works: map[types.WorkID]*meshWork{}, keyRuns: map[types.Key]int{}, choose: choose, order: choose}
+func newShuffle(size int, choose func(limit int) int) *shuffle {
+	sh := &shuffle{now: epoch, works: map[types.WorkID]*shuffleWork{}, keyRuns: map[types.Key]int{}, choose: choose, order: choose}
 	for at := range size {
-		ms.nodes = append(ms.nodes, &meshNode{})
-		ms.start(at)
+		sh.nodes = append(sh.nodes, &shuffleNode{})
+		sh.start(at)
 	}
-	ms.now = ms.now.Add(time.Minute)
-	return ms
+	sh.now = sh.now.Add(time.Minute)
+	return sh
 }
 
 // start gives a place a new process, of which all nodes hear.
-func (ms *mesh) start(at int) {
-	nd := ms.nodes[at]
+func (sh *shuffle) start(at int) {
+	nd := sh.nodes[at]
 	nd.process++
-	nd.state = core.New(memberOf(fmt.Sprintf("n%d", at), ms.now), core.WithKeys(limits), core.WithGate(admit.WithQueue(2)))
-	nd.state.Step(conf.Offered{Snapshot: snapshot(), Version: 1}, ms.now)
-	nd.state.Step(core.RootRead{Epoch: nd.state.Fleet().Epoch(), Version: 1}, ms.now)
-	ms.announce(at, false)
-	ms.spread()
+	nd.state = core.New(memberOf(fmt.Sprintf("n%d", at), sh.now), core.WithKeys(limits), core.WithGate(admit.WithQueue(2)))
+	nd.state.Step(conf.Offered{Snapshot: snapshot(), Version: 1}, sh.now)
+	nd.state.Step(core.RootRead{Epoch: nd.state.Fleet().Epoch(), Version: 1}, sh.now)
+	sh.announce(at, false)
+	sh.spread()
 }
 
-func (ms *mesh) announce(at int, leaving bool) {
+func (sh *shuffle) announce(at int, leaving bool) {
 	announcement := core.Announcement{Service: "intake", Slots: 2, Connections: 4, Leaving: leaving}
-	ms.step(at, core.UpstreamAnnounced{Announcement: announcement})
-	ms.spread()
+	sh.step(at, core.UpstreamAnnounced{Announcement: announcement})
+	sh.spread()
 }
 
-func (ms *mesh) spread() {
-	for _, from := range ms.nodes {
-		for to, nd := range ms.nodes {
+func (sh *shuffle) spread() {
+	for _, from := range sh.nodes {
+		for to, nd := range sh.nodes {
 			if from.state != nil && nd.state != nil && nd != from {
 				self := from.state.Fleet().Self()
 				message := fleet.Message{From: self.ID, Incarnation: self.Incarnation, Version: 1, Digest: "digest", Members: []fleet.Member{self}}
-				ms.step(to, fleet.ExchangeAnswered{Peer: self.ID, Address: self.Address, Message: message})
+				sh.step(to, fleet.ExchangeAnswered{Peer: self.ID, Address: self.Address, Message: message})
 			}
 		}
 	}
 }
 
-func (ms *mesh) later(run func()) { ms.pending = append(ms.pending, run) }
+func (sh *shuffle) later(run func()) { sh.pending = append(sh.pending, run) }
 
 // pump takes one pending step.
-func (ms *mesh) pump() {
-	if len(ms.pending) == 0 {
+func (sh *shuffle) pump() {
+	if len(sh.pending) == 0 {
 		return
 	}
-	at := ms.order(len(ms.pending))
-	run := ms.pending[at]
-	ms.pending = append(ms.pending[:at:at], ms.pending[at+1:]...)
+	at := sh.order(len(sh.pending))
+	run := sh.pending[at]
+	sh.pending = append(sh.pending[:at:at], sh.pending[at+1:]...)
 	run()
 }
 
-func (ms *mesh) call(at int, path string, key types.Option[types.Key]) {
-	id := types.CallID(len(ms.calls) + 1)
+func (sh *shuffle) call(at int, path string, key types.Option[types.Key]) {
+	id := types.CallID(len(sh.calls) + 1)
 	event := flow.CallArrived{
 		Call: id, Request: types.RequestID(fmt.Sprint("r", id)), Key: key, Target: route.Request{Method: "POST", Path: path},
 	}
-	call := &meshCall{node: at, process: ms.nodes[at].process, event: event}
-	ms.calls = append(ms.calls, call)
-	ms.step(at, event)
+	call := &shuffleCall{node: at, process: sh.nodes[at].process, event: event}
+	sh.calls = append(sh.calls, call)
+	sh.step(at, event)
 }
 
-func (ms *mesh) step(at int, event types.Event) {
-	nd := ms.nodes[at]
+func (sh *shuffle) step(at int, event types.Event) {
+	nd := sh.nodes[at]
 	process := nd.process
-	for _, effect := range nd.state.Step(event, ms.now) {
-		ms.run(at, process, effect)
+	for _, effect := range nd.state.Step(event, sh.now) {
+		sh.run(at, process, effect)
 	}
 }
 
 // stepLater plans an event, sometimes twice, for a process that still runs.
-func (ms *mesh) stepLater(at, process int, event types.Event) {
+func (sh *shuffle) stepLater(at, process int, event types.Event) {
 	run := func() {
-		if ms.nodes[at].process == process {
-			ms.step(at, event)
+		if sh.nodes[at].process == process {
+			sh.step(at, event)
 		}
 	}
-	ms.later(run)
-	if ms.choose(8) == 0 {
-		ms.later(run)
+	sh.later(run)
+	if sh.choose(8) == 0 {
+		sh.later(run)
 	}
 }
 
-func (ms *mesh) run(at, process int, effect types.Effect) {
+func (sh *shuffle) run(at, process int, effect types.Effect) {
 	switch ef := effect.(type) {
 	case flow.StartAttempt:
-		call := ms.calls[ef.Call-1]
-		ms.later(func() { ms.arrive(call, ef) })
+		call := sh.calls[ef.Call-1]
+		sh.later(func() { sh.arrive(call, ef) })
 	case flow.CancelAttempt:
-		for _, work := range ms.works {
-			if work.call == ms.calls[ef.Call-1] && work.attempt == ef.Attempt {
-				ms.stepLater(work.node, work.process, admit.Canceled{ID: work.id})
+		for _, work := range sh.works {
+			if work.call == sh.calls[ef.Call-1] && work.attempt == ef.Attempt {
+				sh.stepLater(work.node, work.process, admit.Canceled{ID: work.id})
 			}
 		}
 	case types.SetTimer:
-		ms.later(func() {
-			if ms.now.Before(ef.At) {
-				ms.now = ef.At
+		sh.later(func() {
+			if sh.now.Before(ef.At) {
+				sh.now = ef.At
 			}
-			ms.stepLater(at, process, types.TimerFired{Timer: ef.Timer})
+			sh.stepLater(at, process, types.TimerFired{Timer: ef.Timer})
 		})
 	case admit.Dispatch:
-		ms.dispatch(ms.works[ef.Work.ID])
+		sh.dispatch(sh.works[ef.Work.ID])
 	case admit.Refuse:
-		ms.reply(ms.works[ef.Work.ID], flow.AttemptEnded{Verdict: flow.NotRun, Err: ef.Err})
+		sh.reply(sh.works[ef.Work.ID], flow.AttemptEnded{Verdict: flow.NotRun, Err: ef.Err})
 	case flow.Settle:
-		ms.reply(ms.works[ef.Work], flow.AttemptEnded{Verdict: ef.Verdict, Err: ef.Err, PassedOn: ef.PassedOn})
+		sh.reply(sh.works[ef.Work], flow.AttemptEnded{Verdict: ef.Verdict, Err: ef.Err, PassedOn: ef.PassedOn})
 	case flow.Replay:
-		if !ms.works[ef.Of].kept {
-			ms.fault("work %d replays the answer of %d, which is not kept", ef.Work, ef.Of)
+		if !sh.works[ef.Of].kept {
+			sh.fault("work %d replays the answer of %d, which is not kept", ef.Work, ef.Of)
 		}
-		ms.reply(ms.works[ef.Work], flow.AttemptEnded{Verdict: flow.Answered})
+		sh.reply(sh.works[ef.Work], flow.AttemptEnded{Verdict: flow.Answered})
 	case flow.Forget:
-		ms.works[ef.Work].kept = false
+		sh.works[ef.Work].kept = false
 	case flow.Deliver:
-		ms.end(ms.calls[ef.Call-1], nil)
+		sh.end(sh.calls[ef.Call-1], nil)
 	case flow.Fail:
-		ms.end(ms.calls[ef.Call-1], ef.Err)
+		sh.end(sh.calls[ef.Call-1], ef.Err)
 	}
 }
 
 // arrive brings an attempt to its owner, or loses it on the way.
-func (ms *mesh) arrive(call *meshCall, start flow.StartAttempt) {
+func (sh *shuffle) arrive(call *shuffleCall, start flow.StartAttempt) {
 	ended := flow.AttemptEnded{Call: start.Call, Attempt: start.Attempt, Err: fault.New(fault.Unreachable, "lost")}
 	var at int
 	_, _ = fmt.Sscanf(string(start.Target.ID), "n%d", &at)
-	switch ms.choose(12) {
+	switch sh.choose(12) {
 	case 0:
 		ended.Verdict = flow.Unsent
-		ms.stepLater(call.node, call.process, ended)
+		sh.stepLater(call.node, call.process, ended)
 		return
 	case 1:
 		ended.Verdict = flow.Lost
-		ms.stepLater(call.node, call.process, ended)
+		sh.stepLater(call.node, call.process, ended)
 	}
-	id := types.WorkID(len(ms.works) + 1)
-	work := &meshWork{id: id, node: at, process: ms.nodes[at].process, call: call, attempt: start.Attempt}
+	id := types.WorkID(len(sh.works) + 1)
+	work := &shuffleWork{id: id, node: at, process: sh.nodes[at].process, call: call, attempt: start.Attempt}
 	work.work = admit.Work{
 		ID: id, Request: start.Request, Service: start.Route.Service, Route: start.Route.Name,
 		Importance: start.Route.Importance, Idempotent: start.Route.Idempotent, Key: start.Key,
 		Last: start.Last, Deadline: start.Deadline,
 	}
-	ms.works[id] = work
-	ms.step(at, admit.Arrived{Work: work.work})
+	sh.works[id] = work
+	sh.step(at, admit.Arrived{Work: work.work})
 }
 
 // dispatch runs a work at the upstream, which may shed it.
-func (ms *mesh) dispatch(work *meshWork) {
+func (sh *shuffle) dispatch(work *shuffleWork) {
 	ended := admit.Ended{ID: work.id, Ran: fault.Ran, Elapsed: 10 * time.Millisecond, Size: 10, Whole: true}
-	switch ms.choose(6) {
+	switch sh.choose(6) {
 	case 0:
 		ended.Ran, ended.Err = fault.NotRun, fault.New(fault.Overloaded, "shed")
 	case 1:
@@ -248,49 +248,49 @@
 	if ended.Ran != fault.NotRun {
 		work.call.runs++
 		if key, ok := work.work.Key.Get(); ok && !work.work.Idempotent {
-			ms.keyRuns[key]++
+			sh.keyRuns[key]++
 		}
 	}
 	verdicts := map[fault.Outcome]flow.Verdict{fault.Ran: flow.Answered, fault.NotRun: flow.NotRun, fault.Unknown: flow.Lost}
-	ms.later(func() {
-		if ms.nodes[work.node].process != work.process {
+	sh.later(func() {
+		if sh.nodes[work.node].process != work.process {
 			if !work.settled {
-				ms.reply(work, flow.AttemptEnded{Verdict: flow.Lost, Err: fault.New(fault.Unreachable, "cut")})
+				sh.reply(work, flow.AttemptEnded{Verdict: flow.Lost, Err: fault.New(fault.Unreachable, "cut")})
 			}
 			return
 		}
 		if work.work.Keyed() {
 			work.kept = true
 		} else {
-			ms.reply(work, flow.AttemptEnded{Verdict: verdicts[ended.Ran], Err: ended.Err})
+			sh.reply(work, flow.AttemptEnded{Verdict: verdicts[ended.Ran], Err: ended.Err})
 		}
-		ms.stepLater(work.node, work.process, ended)
-		ms.step(work.node, ended)
+		sh.stepLater(work.node, work.process, ended)
+		sh.step(work.node, ended)
 	})
 }
 
-func (ms *mesh) reply(work *meshWork, ended flow.AttemptEnded) {
+func (sh *shuffle) reply(work *shuffleWork, ended flow.AttemptEnded) {
 	if work.settled {
-		ms.fault("work %d is answered twice", work.id)
+		sh.fault("work %d is answered twice", work.id)
 	}
 	work.settled = true
 	ended.Call, ended.Attempt = work.call.event.Call, work.attempt
-	if ms.choose(12) == 0 {
+	if sh.choose(12) == 0 {
 		ended = flow.AttemptEnded{Call: ended.Call, Attempt: ended.Attempt, Verdict: flow.Lost, Err: fault.New(fault.Unreachable, "lost")}
 	}
-	ms.stepLater(work.call.node, work.call.process, ended)
+	sh.stepLater(work.call.node, work.call.process, ended)
 }
 
-func (ms *mesh) end(call *meshCall, err *fault.Error) {
+func (sh *shuffle) end(call *shuffleCall, err *fault.Error) {
 	call.ends++
 	if call.ends > 1 {
-		ms.fault("call %d has two ends", call.event.Call)
+		sh.fault("call %d has two ends", call.event.Call)
 	}
 	if err != nil && err.Outcome == fault.NotRun && call.runs > 0 {
-		ms.fault("call %d ran and was told %v", call.event.Call, err)
+		sh.fault("call %d ran and was told %v", call.event.Call, err)
 	}
 }
 
-func (ms *mesh) fault(format string, args ...any) {
-	ms.faults = append(ms.faults, fmt.Sprintf(format, args...))
+func (sh *shuffle) fault(format string, args ...any) {
+	sh.faults = append(sh.faults, fmt.Sprintf(format, args...))
 }
