Count what a node can know of keys from when it joined

The process had started more than the margin before, but nobody knew it until it joined.

Ruled out: the start of the process as the instant, for this reason.

Conclusion: the margin must cover the time in which news of an owner that joined reaches every node.

--- a/core/keys.go
+++ b/core/keys.go
@@ -23,7 +23,9 @@
 	// left holds when the node ceased to take the work of a service.
 	left        map[types.ServiceName]time.Time
 	incarnation uint64
-	// settled states that the node runs for longer than the margin.
+	// joined is when the node last came to know the fleet.
+	joined types.Option[time.Time]
+	// settled states that the node once knew the fleet for the margin.
 	settled bool
 }
 
@@ -39,8 +41,8 @@
 func (st *State) watchKeys(now time.Time) {
 	ks := &st.keys
 	ks.incarnation = st.fleet.Self().Incarnation
-	if !ks.settled {
-		ks.settled = now.Sub(st.fleet.Self().Started) >= ks.limits.Margin
+	if at, ok := ks.joined.Get(); ok && !ks.settled {
+		ks.settled = now.Sub(at) >= ks.limits.Margin
 	}
 }
 
@@ -56,8 +58,13 @@
 			ks.ledger.Renew(now)
 		}
 	}
+	if joined := st.fleet.Joined(); !joined {
+		ks.joined = types.None[time.Time]()
+	} else if !ks.joined.IsSome() {
+		ks.joined = types.Some(now)
+	}
 	owned := types.ServiceName("")
-	if self.TakesWork() {
+	if self.TakesWork() && ks.joined.IsSome() {
 		owned = self.Service
 	}
 	if owned == ks.owned {
@@ -123,8 +130,9 @@
 // nextOwner chooses the owner that a keyed call goes to.
 func (st *State) nextOwner(call flow.Call, passed types.Set[types.InstanceID], now time.Time) (flow.Choice, *fault.Error) {
 	limits := st.keys.limits
-	if !limits.Knows(call.Minted, st.fleet.Self().Started) {
-		return flow.Choice{}, fault.New(fault.OutcomeUnknown, "the node started too late to know the key")
+	joined, ok := st.keys.joined.Get()
+	if !ok || !limits.Knows(call.Minted, joined) {
+		return flow.Choice{}, fault.New(fault.OutcomeUnknown, "the node joined too late to know the key")
 	}
 	order := st.keyOrder(call.Route.Service, call.Key.Or(""), call.Minted.Add(-limits.Margin))
 	left := slices.DeleteFunc(order, func(owner keyOwner) bool { return passed.Has(owner.member.ID) })
