Refuse keyed work whose entry left out an owner that comes first

Cause: an entry that has not heard of an owner sends a key to the next one in its own order; the key may have run at the first.

Change: the entry tells which owners passed the key on; an owner that knows of another one before it does not run the work and leaves the outcome open.

Conclusion: a key can run twice through differing views only where entry and owner both lack the news.

--- a/admit/work.go
+++ b/admit/work.go
@@ -32,6 +32,8 @@
 	Fingerprint uint64
 	// Last states that no other owner will be asked for the key.
 	Last bool
+	// Passed holds the owners that passed the key on.
+	Passed types.Set[types.InstanceID]
 	// RequireEcho refuses an answer that does not echo the request identifier.
 	RequireEcho bool
 	// Deadline is the instant after which the answer is of no use.
--- a/core/keys.go
+++ b/core/keys.go
@@ -91,7 +91,7 @@
 // them: those that take work and those that took it until after an instant.
 func (st *State) keyOrder(service types.ServiceName, key types.Key, after time.Time) []keyOwner {
 	var order []keyOwner
-	for _, member := range st.fleet.Owners(func(member fleet.Member) bool { return member.Service == service }) {
+	for _, member := range st.fleet.Serving(service) {
 		order = append(order, keyOwner{member: member})
 	}
 	for _, former := range st.fleet.Formers(service, after) {
@@ -151,6 +151,41 @@
 	return flow.Choice{Target: target, Last: len(left) == 1}, nil
 }
 
+// keyedArrived answers a work whose key the ledger knows or cannot know, or that
+// came to the wrong owner, and reports whether the work is new here.
+func (st *State) keyedArrived(work admit.Work, now time.Time) ([]types.Effect, bool) {
+	if !st.keys.ledger.Knows(work) {
+		if err := st.checkOrder(work); err != nil {
+			return []types.Effect{
+				flow.Settle{Work: work.ID, Verdict: flow.NotRun, Err: err},
+				flow.Forget{Work: work.ID},
+			}, false
+		}
+	}
+	return st.keys.ledger.Arrive(work, now)
+}
+
+// checkOrder returns an error if the entry of a keyed work left out an owner
+// that comes before this node. The views of the two nodes differ, and the key
+// may have run there.
+func (st *State) checkOrder(work admit.Work) *fault.Error {
+	key, minted, err := flow.ParseKey(work.Key.Or(""))
+	if err != nil {
+		return err
+	}
+	self := st.fleet.Self().ID
+	for _, owner := range st.keyOrder(work.Service, key, minted.Add(-st.keys.limits.Margin)) {
+		if owner.member.ID == self {
+			return nil
+		}
+		if !work.Passed.Has(owner.member.ID) {
+			return fault.New(fault.NotReady, "the owner %s of the key was not asked", owner.member.ID).
+				WithOutcome(fault.Unknown).WithRetryAfter(comeBackSoon)
+		}
+	}
+	return nil
+}
+
 // withKey returns a call with the canonical form and the age of its key.
 func (st *State) withKey(call flow.Call, now time.Time) (flow.Call, *fault.Error) {
 	if !call.Keyed() {
--- a/core/owner.go
+++ b/core/owner.go
@@ -92,7 +92,7 @@
 
 func (st *State) workArrived(work admit.Work, now time.Time) []types.Effect {
 	if work.Keyed() {
-		if effects, fresh := st.keys.ledger.Arrive(work, now); !fresh {
+		if effects, fresh := st.keyedArrived(work, now); !fresh {
 			return effects
 		}
 	}
--- a/core/session_test.go
+++ b/core/session_test.go
@@ -96,9 +96,10 @@
 	case "attempt":
 		return se.attempt()
 	case "work":
+		passed := types.NewSet(types.InstanceID(se.text("passed", "")))
 		return se.step(admit.Arrived{Work: admit.Work{
 			ID: types.WorkID(se.number("id", 1)), Service: "intake", Route: "booking", Importance: conf.Normal, Key: se.key(),
-			Fingerprint: uint64(se.number("print", 7)), Last: se.data.HasArg("last"), Deadline: se.now.Add(5 * time.Second),
+			Fingerprint: uint64(se.number("print", 7)), Last: se.data.HasArg("last"), Passed: passed, Deadline: se.now.Add(5 * time.Second),
 		}})
 	case "work-ended":
 		return se.workEnded()
--- a/core/shuffle_test.go
+++ b/core/shuffle_test.go
@@ -230,7 +230,7 @@
 	work.work = admit.Work{
 		ID: id, Request: start.Request, Service: start.Route.Service, Route: start.Route.Name,
 		Importance: start.Route.Importance, Idempotent: start.Route.Idempotent, Key: start.Key,
-		Last: start.Last, Deadline: start.Deadline,
+		Last: start.Last, Passed: start.Passed, Deadline: start.Deadline,
 	}
 	sh.works[id] = work
 	sh.step(at, admit.Arrived{Work: work.work})
--- a/flow/event.go
+++ b/flow/event.go
@@ -94,6 +94,8 @@
 	Deadline time.Time
 	// Last states that no other owner will be asked for the key.
 	Last bool
+	// Passed holds the owners that passed the key on.
+	Passed types.Set[types.InstanceID]
 }
 
 // Effect marks the type as an effect.
--- a/flow/ledger.go
+++ b/flow/ledger.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// Knows reports whether the key of a work arrived before.
+func (ld *Ledger) Knows(work admit.Work) bool {
+	key, _, err := ParseKey(work.Key.Or(""))
+	_, ok := ld.keys[key]
+	return err == nil && ok
+}
+
 // Arrive answers a work whose key is known or cannot be known. It reports
 // whether the work is new and is to be admitted.
 func (ld *Ledger) Arrive(work admit.Work, now time.Time) ([]types.Effect, bool) {
--- a/flow/table.go
+++ b/flow/table.go
@@ -288,6 +288,7 @@
 
 func (tb *Table) start(pr *progress, choice Choice, now time.Time) []types.Effect {
 	target := choice.Target
+	passed := pr.tried
 	pr.attempts++
 	pr.tried = pr.tried.With(target.ID)
 	pr.open[pr.attempts] = attempt{target: target, started: now}
@@ -303,6 +304,7 @@
 			Key:      pr.call.Key,
 			Deadline: pr.call.Deadline,
 			Last:     choice.Last,
+			Passed:   passed,
 		},
 	}
 }
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -187,6 +187,7 @@
 	job.Deadline = effect.Deadline
 	job.Key = effect.Key
 	job.Last = effect.Last
+	job.Passed = effect.Passed
 	ctx, cancel := context.WithDeadline(context.Background(), effect.Deadline)
 	en.mu.Lock()
 	if len(open.attempts) == 0 {
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -125,6 +125,7 @@
 		Idempotent: job.Route.Idempotent,
 		Key:        job.Key,
 		Last:       job.Last,
+		Passed:     job.Passed,
 		Deadline:   job.Deadline,
 	}
 	if job.keyed() {
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -50,6 +50,7 @@
 	headerQueued      = "Sequoiamill-Queued"
 	headerRetryAfter  = "Sequoiamill-Retry-After-Millis"
 	headerLast        = "Sequoiamill-Last"
+	headerPassed      = "Sequoiamill-Passed"
 	headerPassedOn    = "Sequoiamill-Passed-On"
 	headerLength      = "Sequoiamill-Length"
 	headerAtOwner     = "Sequoiamill-At-Owner-Micros"
@@ -88,6 +89,8 @@
 	Body     []byte
 	// Last states that no other owner will be asked for the key.
 	Last bool
+	// Passed holds the owners that passed the key on.
+	Passed types.Set[types.InstanceID]
 }
 
 // keyed reports whether the job runs at most once under its key.
@@ -188,6 +191,9 @@
 	if job.Last {
 		header.Set(headerLast, "true")
 	}
+	for _, id := range job.Passed.Sorted() {
+		header.Add(headerPassed, string(id))
+	}
 }
 
 func readJobHeaders(header http.Header, now time.Time) (Job, error) {
@@ -216,6 +222,7 @@
 		Deadline: now.Add(time.Duration(left) * time.Microsecond),
 		Method:   header.Get(headerMethod),
 		Last:     header.Get(headerLast) != "",
+		Passed:   passedOf(header),
 		URI:      header.Get(headerURI),
 		Host:     header.Get(headerHost),
 		Header:   stripOwnHeaders(header),
@@ -233,6 +240,14 @@
 	return types.None[types.Key]()
 }
 
+func passedOf(header http.Header) types.Set[types.InstanceID] {
+	var passed types.Set[types.InstanceID]
+	for _, id := range header.Values(headerPassed) {
+		passed = passed.With(types.InstanceID(id))
+	}
+	return passed
+}
+
 func writeReply(writer http.ResponseWriter, request types.RequestID, reply Reply) {
 	header := writer.Header()
 	for name, values := range stripOwnHeaders(reply.Answer.Header) {
