Copy headers once a hop and send without the client's wrapping

Cause: each hop cloned the headers two or three times, and http.Client copied them again for redirects that are never followed.

Change: headers are stripped in place where they are owned and cloned once for each attempt; requests go to the transport's RoundTrip.

--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -33,12 +33,10 @@
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderOutcome) == fault.NotRun.String() {
 		return refusal(shedFault(response.Header))
 	}
-	return Reply{Verdict: flow.Answered, Answer: Answer{
-		Status: response.StatusCode,
-		Header: stripOwnHeaders(response.Header),
-		Body:   body,
-		Length: lengthOf(response, job.Method),
-	}}
+	length := lengthOf(response, job.Method)
+	stripOwnHeaders(response.Header)
+	answer := Answer{Status: response.StatusCode, Header: response.Header, Body: body, Length: length}
+	return Reply{Verdict: flow.Answered, Answer: answer}
 }
 
 // checkHead returns an error if an answer is not that of the job or if its
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -122,7 +122,8 @@
 
 // callerHeaders returns the headers that go on to the upstream.
 func callerHeaders(request *http.Request) http.Header {
-	header := stripOwnHeaders(request.Header)
+	header := request.Header
+	stripOwnHeaders(header)
 	if host, _, err := net.SplitHostPort(request.RemoteAddr); err == nil {
 		chain := append(header.Values(headerForwardedFor), host)
 		header.Set(headerForwardedFor, strings.Join(chain, ", "))
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -24,9 +24,9 @@
 
 // Forwarder sends jobs to the nodes that own other upstreams.
 type Forwarder struct {
-	client  *http.Client
-	now     func() time.Time
-	maxBody int64
+	transport *http.Transport
+	now       func() time.Time
+	maxBody   int64
 }
 
 // ForwarderOption changes a setting of a forwarder.
@@ -49,7 +49,7 @@
 	for _, opt := range opts {
 		opt(transport)
 	}
-	return &Forwarder{client: &http.Client{Transport: transport, CheckRedirect: noRedirect}, now: now, maxBody: maxBody}
+	return &Forwarder{transport: transport, now: now, maxBody: maxBody}
 }
 
 // Do sends a job to its owner and returns how it ended.
@@ -58,7 +58,7 @@
 	defer stop()
 	reply := fw.exchange(ctx, dog, address, job)
 	if errors.Is(context.Cause(ctx), errSilent) {
-		fw.client.CloseIdleConnections()
+		fw.transport.CloseIdleConnections()
 	}
 	return reply
 }
@@ -70,9 +70,9 @@
 		return refusal(fault.Wrap(fault.Internal, err, "make the forwarded call"))
 	}
 	setBodyOnce(request, dog.reader(bytes.NewReader(job.Body)), len(job.Body))
-	request.Header = stripHopHeaders(job.Header)
+	request.Header = cloneHeader(job.Header)
 	writeJobHeaders(request.Header, job, fw.now())
-	response, err := fw.client.Do(request)
+	response, err := fw.transport.RoundTrip(request)
 	if err != nil && !used.sent() {
 		return Reply{Verdict: flow.Unsent, Err: fault.Wrap(fault.Unreachable, err, "connect to the owner")}
 	}
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -31,8 +31,8 @@
 }
 
 type target struct {
-	address types.Address
-	client  *http.Client
+	address   types.Address
+	transport *http.Transport
 }
 
 // openJob is a job that waits for its answer or keeps it for others.
@@ -84,11 +84,9 @@
 		MaxIdleConnsPerHost: connections,
 		DisableCompression:  true,
 	}
-	ow.target.Store(&target{address: address, client: &http.Client{Transport: transport, CheckRedirect: noRedirect}})
+	ow.target.Store(&target{address: address, transport: transport})
 }
 
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Do runs a job and returns how it ended. A keyed job that was sent to the
 // upstream goes on when the context ends.
 func (ow *Owner) Do(ctx context.Context, job Job) Reply {
@@ -241,19 +239,19 @@
 	if err != nil {
 		return refusal(fault.Wrap(fault.InvalidInput, err, "make the upstream's request"))
 	}
-	response, err := upstream.client.Do(request)
+	response, err := upstream.transport.RoundTrip(request)
 	if err != nil && !used.sent() {
 		return refusal(fault.Wrap(fault.Unreachable, err, "connect to the upstream"))
 	}
 	if err != nil {
-		upstream.client.CloseIdleConnections()
+		upstream.transport.CloseIdleConnections()
 		return lost(fault.Wrap(fault.BrokenAnswer, err, "wait for the upstream"))
 	}
 	defer func() { _ = response.Body.Close() }()
 	reply := ow.readAnswer(response, job, requireEcho)
 	if reply.Verdict == flow.Lost {
 		used.close()
-		upstream.client.CloseIdleConnections()
+		upstream.transport.CloseIdleConnections()
 	}
 	return reply
 }
@@ -264,7 +262,7 @@
 		return nil, err
 	}
 	setBodyOnce(request, bytes.NewReader(job.Body), len(job.Body))
-	request.Header = stripHopHeaders(job.Header)
+	request.Header = cloneHeader(job.Header)
 	if request.Header.Get("User-Agent") == "" {
 		request.Header["User-Agent"] = []string{""}
 	}
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -125,30 +125,35 @@
 // lost returns a reply to a job that may have run.
 func lost(err *fault.Error) Reply { return Reply{Verdict: flow.Lost, Err: err} }
 
-func stripHopHeaders(header http.Header) http.Header {
-	clean := header.Clone()
-	if clean == nil {
-		clean = http.Header{}
-	}
-	for _, list := range header.Values("Connection") {
+// stripHopHeaders removes the headers that concern one connection.
+func stripHopHeaders(header http.Header) {
+	for _, list := range header["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			clean.Del(strings.TrimSpace(name))
+			header.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopHeaders {
-		clean.Del(name)
+		delete(header, name)
 	}
-	return clean
 }
 
-func stripOwnHeaders(header http.Header) http.Header {
-	clean := stripHopHeaders(header)
-	for name := range clean {
-		if len(name) >= len(headerPrefix) && name[:len(headerPrefix)] == headerPrefix {
-			clean.Del(name)
+// stripOwnHeaders removes the headers of one connection and those that nodes
+// use among themselves.
+func stripOwnHeaders(header http.Header) {
+	stripHopHeaders(header)
+	for name := range header {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(header, name)
 		}
 	}
-	return clean
+}
+
+// cloneHeader returns a copy that can be written to.
+func cloneHeader(header http.Header) http.Header {
+	if header == nil {
+		return http.Header{}
+	}
+	return header.Clone()
 }
 
 // readBody reads a body of at most limit bytes.
@@ -225,8 +230,9 @@
 		Passed:   passedOf(header),
 		URI:      header.Get(headerURI),
 		Host:     header.Get(headerHost),
-		Header:   stripOwnHeaders(header),
+		Header:   header,
 	}
+	stripOwnHeaders(header)
 	if job.Request == "" || job.Method == "" || job.URI == "" || job.Route.Service == "" {
 		return Job{}, fault.New(fault.InvalidInput, "a header of the forwarded call is missing")
 	}
@@ -250,7 +256,7 @@
 
 func writeReply(writer http.ResponseWriter, request types.RequestID, reply Reply) {
 	header := writer.Header()
-	for name, values := range stripOwnHeaders(reply.Answer.Header) {
+	for name, values := range reply.Answer.Header {
 		header[name] = values
 	}
 	header.Set(HeaderRequestID, string(request))
@@ -299,10 +305,11 @@
 			return Reply{}, fault.New(fault.BrokenAnswer, "the answer's status is %q", header.Get(headerStatus))
 		}
 		reply.Verdict = flow.Answered
-		reply.Answer = Answer{Status: status, Header: stripOwnHeaders(header), Body: body}
+		reply.Answer = Answer{Status: status, Header: header, Body: body}
 		if length, err := strconv.ParseInt(header.Get(headerLength), 10, 64); err == nil {
 			reply.Answer.Length = types.Some(length)
 		}
+		stripOwnHeaders(header)
 		return reply, nil
 	case flow.NotRun.String():
 		reply.Verdict = flow.NotRun
