--- a/flow/event.go
+++ b/flow/event.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	table := flow.NewTable(pick)
+//	table := flow.NewTable(flow.Seams{Pick: pick, Next: next, Began: began, Ended: ended})
 //	effects := table.Begin(call, now)
 //	effects = table.Ended(flow.AttemptEnded{Call: call.ID, Attempt: 1}, now)
 package flow
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -4,8 +4,9 @@
 //
 // # Usage
 //
-//	owner := proxy.NewOwner(post, proxy.WithMaxBody(1<<20))
-//	entry := proxy.NewEntry(self, post, owner, now)
+//	owner := proxy.NewOwner(post, load, now, proxy.WithMaxBody(1<<20))
+//	forward := proxy.NewForwarder(now, 1<<20)
+//	entry := proxy.NewEntry(self, post, owner, forward, now)
 //	server := http.Server{Handler: entry}
 package proxy
 
