--- a/core/keys.go
+++ b/core/keys.go
@@ -23,7 +23,9 @@
 	// left holds when the node ceased to take the work of a service.
 	left        map[types.ServiceName]time.Time
 	incarnation uint64
-	// settled states that the node runs for longer than the margin.
+	// joined is when the node last came to know the fleet.
+	joined types.Option[time.Time]
+	// settled states that the node once knew the fleet for the margin.
 	settled bool
 }
 
@@ -39,8 +41,8 @@
 func (st *State) watchKeys(now time.Time) {
 	ks := &st.keys
 	ks.incarnation = st.fleet.Self().Incarnation
-	if !ks.settled {
-		ks.settled = now.Sub(st.fleet.Self().Started) >= ks.limits.Margin
+	if at, ok := ks.joined.Get(); ok && !ks.settled {
+		ks.settled = now.Sub(at) >= ks.limits.Margin
 	}
 }
 
@@ -56,8 +58,13 @@
 			ks.ledger.Renew(now)
 		}
 	}
+	if joined := st.fleet.Joined(); !joined {
+		ks.joined = types.None[time.Time]()
+	} else if !ks.joined.IsSome() {
+		ks.joined = types.Some(now)
+	}
 	owned := types.ServiceName("")
-	if self.TakesWork() {
+	if self.TakesWork() && ks.joined.IsSome() {
 		owned = self.Service
 	}
 	if owned == ks.owned {
@@ -84,7 +91,7 @@
 // them: those that take work and those that took it until after an instant.
 func (st *State) keyOrder(service types.ServiceName, key types.Key, after time.Time) []keyOwner {
 	var order []keyOwner
-	for _, member := range st.fleet.Owners(func(member fleet.Member) bool { return member.Service == service }) {
+	for _, member := range st.fleet.Serving(service) {
 		order = append(order, keyOwner{member: member})
 	}
 	for _, former := range st.fleet.Formers(service, after) {
@@ -123,8 +130,9 @@
 // nextOwner chooses the owner that a keyed call goes to.
 func (st *State) nextOwner(call flow.Call, passed types.Set[types.InstanceID], now time.Time) (flow.Choice, *fault.Error) {
 	limits := st.keys.limits
-	if !limits.Knows(call.Minted, st.fleet.Self().Started) {
-		return flow.Choice{}, fault.New(fault.OutcomeUnknown, "the node started too late to know the key")
+	joined, ok := st.keys.joined.Get()
+	if !ok || !limits.Knows(call.Minted, joined) {
+		return flow.Choice{}, fault.New(fault.OutcomeUnknown, "the node joined too late to know the key")
 	}
 	order := st.keyOrder(call.Route.Service, call.Key.Or(""), call.Minted.Add(-limits.Margin))
 	left := slices.DeleteFunc(order, func(owner keyOwner) bool { return passed.Has(owner.member.ID) })
@@ -143,6 +151,41 @@
 	return flow.Choice{Target: target, Last: len(left) == 1}, nil
 }
 
+// keyedArrived answers a work whose key the ledger knows or cannot know, or that
+// came to the wrong owner, and reports whether the work is new here.
+func (st *State) keyedArrived(work admit.Work, now time.Time) ([]types.Effect, bool) {
+	if !st.keys.ledger.Knows(work) {
+		if err := st.checkOrder(work); err != nil {
+			return []types.Effect{
+				flow.Settle{Work: work.ID, Verdict: flow.NotRun, Err: err},
+				flow.Forget{Work: work.ID},
+			}, false
+		}
+	}
+	return st.keys.ledger.Arrive(work, now)
+}
+
+// checkOrder returns an error if the entry of a keyed work left out an owner
+// that comes before this node. The views of the two nodes differ, and the key
+// may have run there.
+func (st *State) checkOrder(work admit.Work) *fault.Error {
+	key, minted, err := flow.ParseKey(work.Key.Or(""))
+	if err != nil {
+		return err
+	}
+	self := st.fleet.Self().ID
+	for _, owner := range st.keyOrder(work.Service, key, minted.Add(-st.keys.limits.Margin)) {
+		if owner.member.ID == self {
+			return nil
+		}
+		if !work.Passed.Has(owner.member.ID) {
+			return fault.New(fault.NotReady, "the owner %s of the key was not asked", owner.member.ID).
+				WithOutcome(fault.Unknown).WithRetryAfter(comeBackSoon)
+		}
+	}
+	return nil
+}
+
 // withKey returns a call with the canonical form and the age of its key.
 func (st *State) withKey(call flow.Call, now time.Time) (flow.Call, *fault.Error) {
 	if !call.Keyed() {
--- a/flow/event.go
+++ b/flow/event.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	table := flow.NewTable(pick)
+//	table := flow.NewTable(flow.Seams{Pick: pick, Next: next, Began: began, Ended: ended})
 //	effects := table.Begin(call, now)
 //	effects = table.Ended(flow.AttemptEnded{Call: call.ID, Attempt: 1}, now)
 package flow
@@ -94,6 +94,8 @@
 	Deadline time.Time
 	// Last states that no other owner will be asked for the key.
 	Last bool
+	// Passed holds the owners that passed the key on.
+	Passed types.Set[types.InstanceID]
 }
 
 // Effect marks the type as an effect.
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -4,8 +4,9 @@
 //
 // # Usage
 //
-//	owner := proxy.NewOwner(post, proxy.WithMaxBody(1<<20))
-//	entry := proxy.NewEntry(self, post, owner, now)
+//	owner := proxy.NewOwner(post, load, now, proxy.WithMaxBody(1<<20))
+//	forward := proxy.NewForwarder(now, 1<<20)
+//	entry := proxy.NewEntry(self, post, owner, forward, now)
 //	server := http.Server{Handler: entry}
 package proxy
 
@@ -50,6 +51,7 @@
 	headerQueued      = "Sequoiamill-Queued"
 	headerRetryAfter  = "Sequoiamill-Retry-After-Millis"
 	headerLast        = "Sequoiamill-Last"
+	headerPassed      = "Sequoiamill-Passed"
 	headerPassedOn    = "Sequoiamill-Passed-On"
 	headerLength      = "Sequoiamill-Length"
 	headerAtOwner     = "Sequoiamill-At-Owner-Micros"
@@ -88,6 +90,8 @@
 	Body     []byte
 	// Last states that no other owner will be asked for the key.
 	Last bool
+	// Passed holds the owners that passed the key on.
+	Passed types.Set[types.InstanceID]
 }
 
 // keyed reports whether the job runs at most once under its key.
@@ -122,30 +126,35 @@
 // lost returns a reply to a job that may have run.
 func lost(err *fault.Error) Reply { return Reply{Verdict: flow.Lost, Err: err} }
 
-func stripHopHeaders(header http.Header) http.Header {
-	clean := header.Clone()
-	if clean == nil {
-		clean = http.Header{}
-	}
-	for _, list := range header.Values("Connection") {
+// stripHopHeaders removes the headers that concern one connection.
+func stripHopHeaders(header http.Header) {
+	for _, list := range header["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			clean.Del(strings.TrimSpace(name))
+			header.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopHeaders {
-		clean.Del(name)
+		delete(header, name)
 	}
-	return clean
 }
 
-func stripOwnHeaders(header http.Header) http.Header {
-	clean := stripHopHeaders(header)
-	for name := range clean {
-		if len(name) >= len(headerPrefix) && name[:len(headerPrefix)] == headerPrefix {
-			clean.Del(name)
+// stripOwnHeaders removes the headers of one connection and those that nodes
+// use among themselves.
+func stripOwnHeaders(header http.Header) {
+	stripHopHeaders(header)
+	for name := range header {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(header, name)
 		}
 	}
-	return clean
+}
+
+// cloneHeader returns a copy that can be written to.
+func cloneHeader(header http.Header) http.Header {
+	if header == nil {
+		return http.Header{}
+	}
+	return header.Clone()
 }
 
 // readBody reads a body of at most limit bytes.
@@ -188,6 +197,9 @@
 	if job.Last {
 		header.Set(headerLast, "true")
 	}
+	for _, id := range job.Passed.Sorted() {
+		header.Add(headerPassed, string(id))
+	}
 }
 
 func readJobHeaders(header http.Header, now time.Time) (Job, error) {
@@ -216,10 +228,12 @@
 		Deadline: now.Add(time.Duration(left) * time.Microsecond),
 		Method:   header.Get(headerMethod),
 		Last:     header.Get(headerLast) != "",
+		Passed:   passedOf(header),
 		URI:      header.Get(headerURI),
 		Host:     header.Get(headerHost),
-		Header:   stripOwnHeaders(header),
+		Header:   header,
 	}
+	stripOwnHeaders(header)
 	if job.Request == "" || job.Method == "" || job.URI == "" || job.Route.Service == "" {
 		return Job{}, fault.New(fault.InvalidInput, "a header of the forwarded call is missing")
 	}
@@ -233,9 +247,17 @@
 	return types.None[types.Key]()
 }
 
+func passedOf(header http.Header) types.Set[types.InstanceID] {
+	var passed types.Set[types.InstanceID]
+	for _, id := range header.Values(headerPassed) {
+		passed = passed.With(types.InstanceID(id))
+	}
+	return passed
+}
+
 func writeReply(writer http.ResponseWriter, request types.RequestID, reply Reply) {
 	header := writer.Header()
-	for name, values := range stripOwnHeaders(reply.Answer.Header) {
+	for name, values := range reply.Answer.Header {
 		header[name] = values
 	}
 	header.Set(HeaderRequestID, string(request))
@@ -284,10 +306,11 @@
 			return Reply{}, fault.New(fault.BrokenAnswer, "the answer's status is %q", header.Get(headerStatus))
 		}
 		reply.Verdict = flow.Answered
-		reply.Answer = Answer{Status: status, Header: stripOwnHeaders(header), Body: body}
+		reply.Answer = Answer{Status: status, Header: header, Body: body}
 		if length, err := strconv.ParseInt(header.Get(headerLength), 10, 64); err == nil {
 			reply.Answer.Length = types.Some(length)
 		}
+		stripOwnHeaders(header)
 		return reply, nil
 	case flow.NotRun.String():
 		reply.Verdict = flow.NotRun
