--- a/bench/lab.go
+++ b/bench/lab.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"os"
 	"slices"
@@ -220,6 +221,10 @@
 	sh.add(variant, "no answer", "count", float64(len(outcome.With(Broken).Results)))
 	sh.add(variant, "refused", "count", float64(len(outcome.With(Refused).Results)))
 	sh.add(variant, "outcome unknown", "count", float64(len(outcome.With(Unknown).Results)))
+	kinds := outcome.kinds()
+	for _, kind := range slices.Sorted(maps.Keys(kinds)) {
+		sh.add(variant, "errors "+kind+", in runs with any", "count", float64(kinds[kind]))
+	}
 }
 
 func (sh *sheet) holdTrust() {
