--- a/codec/bundle.go
+++ b/codec/bundle.go
@@ -16,27 +16,6 @@
 // MaxObject is the largest stored value in bytes, as the platform allows.
 const MaxObject = 1 << 20
 
-type rootWire struct {
-	Version uint64         `json:"version"`
-	Change  string         `json:"change-id"`
-	Packs   []string       `json:"packs"`
-	Entries []entryWire    `json:"entries"`
-	Recent  []acceptedWire `json:"recent"`
-}
-
-type entryWire struct {
-	Kind string `json:"kind"`
-	Name string `json:"name"`
-	Hash string `json:"hash"`
-	// Pack is the place in the list of packs.
-	Pack int `json:"pack"`
-}
-
-type acceptedWire struct {
-	Change  string `json:"change-id"`
-	Version uint64 `json:"version"`
-}
-
 // HashOf returns the content hash of a body.
 func HashOf(body []byte) types.Hash {
 	sum := sha256.Sum256(body)
@@ -46,9 +25,19 @@
 // Seal encodes a configuration as the bundle of one version. The entries of
 // the given root are replaced by those of the configuration.
 func Seal(root conf.Root, config conf.Config) (conf.Bundle, error) {
-	bundle := conf.Bundle{Bodies: map[types.Hash][]byte{}}
-	root.Entries = nil
-	wire := configToWire(config)
+	entries, bodies, err := resources(config)
+	if err != nil {
+		return conf.Bundle{}, err
+	}
+	root.Entries = entries
+	body, err := writeRoot(root)
+	return conf.Bundle{RootBody: body, Bodies: bodies}, err
+}
+
+// resources encodes the resources of a configuration one by one.
+func resources(config conf.Config) ([]conf.Entry, map[types.Hash][]byte, error) {
+	var entries []conf.Entry
+	bodies := map[types.Hash][]byte{}
 	add := func(kind conf.ResourceKind, name string, item any) error {
 		body, err := json.Marshal(item)
 		if err != nil {
@@ -58,85 +47,27 @@
 			return fault.New(fault.TooLarge, "%s %q has %d bytes of at most %d", kind, name, len(body), MaxObject)
 		}
 		hash := HashOf(body)
-		bundle.Bodies[hash] = body
-		root.Entries = append(root.Entries, conf.Entry{Key: conf.Key{Kind: kind, Name: name}, Hash: hash})
+		bodies[hash] = body
+		entries = append(entries, conf.Entry{Key: conf.Key{Kind: kind, Name: name}, Hash: hash})
 		return nil
 	}
+	wire := configToWire(config)
 	for _, service := range wire.Services {
 		if err := add(conf.ServiceKind, service.Name, service); err != nil {
-			return conf.Bundle{}, err
+			return nil, nil, err
 		}
 	}
 	for _, route := range wire.Routes {
 		if err := add(conf.RouteKind, route.Name, route); err != nil {
-			return conf.Bundle{}, err
+			return nil, nil, err
 		}
 	}
 	for _, rule := range wire.UpstreamRules {
 		if err := add(conf.UpstreamRuleKind, rule.Name, rule); err != nil {
-			return conf.Bundle{}, err
-		}
-	}
-	body, err := writeRoot(root)
-	if err != nil {
-		return conf.Bundle{}, err
-	}
-	bundle.RootBody = body
-	return bundle, nil
-}
-
-func writeRoot(root conf.Root) ([]byte, error) {
-	wire := rootWire{Version: uint64(root.Version), Change: string(root.Change)}
-	places := map[types.Hash]int{}
-	for _, pack := range root.Packs().Sorted() {
-		places[pack] = len(wire.Packs)
-		wire.Packs = append(wire.Packs, string(pack))
-	}
-	for _, entry := range root.Entries {
-		item := entryWire{Kind: entry.Key.Kind.String(), Name: entry.Key.Name, Hash: string(entry.Hash), Pack: places[entry.Pack]}
-		wire.Entries = append(wire.Entries, item)
-	}
-	for _, accepted := range root.Recent {
-		wire.Recent = append(wire.Recent, acceptedWire{Change: string(accepted.Change), Version: uint64(accepted.Version)})
-	}
-	body, err := json.Marshal(wire)
-	if err != nil {
-		return nil, errors.WithMessage(err, "encode root")
-	}
-	if len(body) > MaxObject {
-		return nil, fault.New(fault.TooLarge, "the root has %d bytes of at most %d", len(body), MaxObject)
-	}
-	return body, nil
-}
-
-// ReadRoot decodes a root body.
-func ReadRoot(body []byte) (conf.Root, error) {
-	if len(body) > MaxObject {
-		return conf.Root{}, fault.New(fault.ConfigRefused, "the root has %d bytes of at most %d", len(body), MaxObject)
-	}
-	var wire rootWire
-	if err := strictJSON(body, &wire); err != nil {
-		return conf.Root{}, fault.Wrap(fault.ConfigRefused, err, "decode root")
-	}
-	root := conf.Root{Version: types.Version(wire.Version), Change: types.ChangeID(wire.Change)}
-	for _, item := range wire.Entries {
-		kind, ok := conf.ParseResourceKind(item.Kind)
-		if !ok {
-			return conf.Root{}, fault.New(fault.ConfigRefused, "decode root: unknown resource kind %q", item.Kind)
-		}
-		if item.Pack < 0 || item.Pack >= len(wire.Packs) {
-			return conf.Root{}, fault.New(fault.ConfigRefused, "decode root: %s %q names the pack %d of %d", kind, item.Name, item.Pack, len(wire.Packs))
+			return nil, nil, err
 		}
-		entry := conf.Entry{Key: conf.Key{Kind: kind, Name: item.Name}, Hash: types.Hash(item.Hash), Pack: types.Hash(wire.Packs[item.Pack])}
-		root.Entries = append(root.Entries, entry)
-	}
-	for _, item := range wire.Recent {
-		root.Recent = append(root.Recent, conf.Accepted{Change: types.ChangeID(item.Change), Version: types.Version(item.Version)})
-	}
-	if root.Version == 0 {
-		return conf.Root{}, fault.New(fault.ConfigRefused, "decode root: the version is 0")
 	}
-	return root, nil
+	return entries, bodies, nil
 }
 
 // Open checks the hashes of a bundle, decodes it and validates the result.
