Wait until the news has died away before a window is idle

Cause: at 160 nodes the idle windows of the slopes held 1.9 exchanges a second and node, since the news of the start was still spreading (idle bytes 1.6 KB/s at 17 and 40 nodes, about 9 KB/s at 160, shared machine), so the line through them said little of an idle fleet. Change: idle windows and the windows of changes wait until three sampled nodes exchange less than 1.4 times a second. Ruled out: a longer fixed wait, which costs the small fleets their time. Conclusion: the cost of a start and that of a change are kept apart.

--- a/bench/control.go
+++ b/bench/control.go
@@ -162,6 +162,8 @@
 
 // Rates are uses per node.
 type Rates struct {
+	// Span is the time over which they were taken.
+	Span time.Duration
 	// CPU is the share of a core.
 	CPU float64
 	// Resident is in bytes.
@@ -178,9 +180,11 @@
 
 // rates returns the use per node between two readings.
 func rates(from, to Reading) Rates {
-	seconds := to.When.Sub(from.When).Seconds() * float64(to.Nodes)
+	span := to.When.Sub(from.When)
+	seconds := span.Seconds() * float64(to.Nodes)
 	used := to.Usage.Sub(from.Usage)
 	return Rates{
+		Span:     span,
 		CPU:      used.CPU.Seconds() / seconds,
 		Resident: float64(used.Resident) / float64(to.Nodes),
 		In:       float64(used.In) / seconds,
--- a/bench/costs.go
+++ b/bench/costs.go
@@ -106,7 +106,9 @@
 	return used, err
 }
 
+const exchangesSent = "sequoiamill_exchanges_sent_total"
+
 func (ft *Fleet) exchanges() (float64, error) {
 	reading, err := ft.read(true)
-	return reading.Metrics.Values["sequoiamill_exchanges_sent_total"], err
+	return reading.Metrics.Values[exchangesSent], err
 }
--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -9,10 +9,17 @@
 const (
 	letterNodes   = 910
 	slopeNodeRate = 10
-	quickSettle   = 4 * time.Second
-	fullSettle    = 20 * time.Second
-	quickWindow   = 1500 * time.Millisecond
-	fullWindow    = 10 * time.Second
+	quickSettle   = 30 * time.Second
+	fullSettle    = 2 * time.Minute
+	// quietSample nodes stand for all, so that reading their counters weighs
+	// little among the bytes of all nodes.
+	quietSample   = 3
+	quietInterval = 3 * time.Second
+	// quietExchanges is a second and node, between one without and two with
+	// news to spread.
+	quietExchanges = 1.4
+	quickWindow    = 1500 * time.Millisecond
+	fullWindow     = 10 * time.Second
 )
 
 // Slopes measures the use per node at several sizes, fits a line against the
@@ -86,7 +93,9 @@
 		return err
 	}
 	defer ft.Stop()
-	sleep(ctx, lb.span(quickSettle, fullSettle))
+	if err := ft.settle(ctx, lb.span(quickSettle, fullSettle)); err != nil {
+		return err
+	}
 	idle, err := lb.slopeIdle(ctx, sh, ft)
 	if err != nil {
 		return err
@@ -97,6 +106,39 @@
 	return lb.slopeCalls(ctx, sh, ft, idle)
 }
 
+// settle waits until the nodes have no more news to spread, or for a limit.
+func (ft *Fleet) settle(ctx context.Context, limit time.Duration) error {
+	began := time.Now()
+	for time.Since(began) < limit {
+		before, err := ft.sampleExchanges()
+		if err != nil {
+			return err
+		}
+		start := time.Now()
+		sleep(ctx, quietInterval)
+		after, err := ft.sampleExchanges()
+		if err != nil {
+			return err
+		}
+		if (after-before)/time.Since(start).Seconds()/quietSample < quietExchanges {
+			return nil
+		}
+	}
+	return ctx.Err()
+}
+
+func (ft *Fleet) sampleExchanges() (float64, error) {
+	sum := 0.0
+	for number := range quietSample {
+		metrics, err := scrape(ft.http, ft.Instances[number*len(ft.Instances)/quietSample].Admin)
+		if err != nil {
+			return 0, err
+		}
+		sum += metrics.Values[exchangesSent]
+	}
+	return sum, nil
+}
+
 // slopeIdle returns the medians of idle windows.
 func (lb *Lab) slopeIdle(ctx context.Context, sh *sheet, ft *Fleet) (Rates, error) {
 	var bytes, cpu []float64
@@ -120,10 +162,11 @@
 	const each = 2
 	for run := range lb.runs {
 		var accepted []acceptance
-		span := each*changePause + lb.span(quickSettle, fullSettle)
-		used, err := ft.window(ctx, span, func() (err error) {
-			accepted, err = ft.applyMany(ctx, run*each, each, changePause)
-			return err
+		used, err := ft.window(ctx, 0, func() (err error) {
+			if accepted, err = ft.applyMany(ctx, run*each, each, changePause); err != nil {
+				return err
+			}
+			return ft.settle(ctx, lb.span(quickSettle, fullSettle))
 		})
 		if err != nil {
 			return err
@@ -132,7 +175,7 @@
 		if err != nil {
 			return err
 		}
-		perChange := span.Seconds() / each
+		perChange := used.Span.Seconds() / each
 		bytes := max(0, used.In+used.Out-idle.In) * perChange
 		cpu := max(0, used.CPU-idle.CPU) * perChange
 		const perSecond = float64(changesPerDay) / daySeconds
