Give each scenario a loopback address to itself

Cause: a scenario found free ports, closed them and started processes on them later; another scenario could take one in between. fleet-kill waited for ever for a node that had ended with "address already in use".

Change: each scenario has an address of 127.0.0.0/8 to itself, by the process and a count, with fixed ports. Outgoing connections take their ports on 127.0.0.1, so nothing else can take one.

Ruled out: other ranges of ports, which two runs at the same time share.

--- a/core/join_test.go
+++ b/core/join_test.go
@@ -11,6 +11,7 @@
 	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/flow"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -38,7 +39,7 @@
 func TestRestartedNodeInAnOutageServesNothingBelowItsFloor(t *testing.T) {
 	is := is.New(t)
 	now := joinStart.Add(time.Minute)
-	st := New(fleet.Member{ID: "a", Incarnation: 1, Address: "a:1", Zone: "kolkata", Started: joinStart.Add(time.Second)})
+	st := New(fleet.Member{ID: "a", Incarnation: 1, Address: "a:1", Zone: "kolkata", Started: joinStart.Add(time.Second)}, WithKeys(flow.KeyLimits{Retention: time.Minute}))
 	st.Step(Tick{}, now)
 	is.True(!st.Ready()) // alone without the platform
 	st.Step(answer(1, 4, joinMember("b", 4), joinMember("a", 6).WithStatus(fleet.Dead)), now)
@@ -52,7 +53,7 @@
 
 func TestNodeWithThePlatformWaitsForItsCurrentVersion(t *testing.T) {
 	is := is.New(t)
-	st := New(fleet.Member{ID: "a", Incarnation: 1, Address: "a:1", Zone: "kolkata", Started: joinStart})
+	st := New(fleet.Member{ID: "a", Incarnation: 1, Address: "a:1", Zone: "kolkata", Started: joinStart}, WithKeys(flow.KeyLimits{Retention: time.Minute}))
 	now := joinStart.Add(time.Minute)
 	st.Step(Tick{}, now)
 	st.Step(joinOffer(is, 4), now)
@@ -66,7 +67,7 @@
 func TestPausedNodeRefusesWorkUntilItHasJoinedAgain(t *testing.T) {
 	is := is.New(t)
 	now := joinStart.Add(time.Minute)
-	st := New(fleet.Member{ID: "a", Incarnation: 1, Address: "a:1", Zone: "kolkata", Started: joinStart.Add(time.Second)})
+	st := New(fleet.Member{ID: "a", Incarnation: 1, Address: "a:1", Zone: "kolkata", Started: joinStart.Add(time.Second)}, WithKeys(flow.KeyLimits{Retention: time.Minute}))
 	work := func(id types.WorkID) admit.Work {
 		return admit.Work{ID: id, Service: "intake", Deadline: now.Add(time.Hour)}
 	}
--- a/script/script_test.go
+++ b/script/script_test.go
@@ -7,12 +7,11 @@
 	"flag"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -76,39 +75,23 @@
 	ts.Fatalf("no background process has the arguments %q", args[1:])
 }
 
-// setup gives each scenario free loopback addresses as $A0 to $A19, and nodes
-// that do not linger at the end of the scenario.
+// scenarios counts the scenarios that were set up.
+var scenarios atomic.Uint32
+
+// setup gives each scenario an address of the loopback network to itself, with
+// its ports as $A0 to $A19, and nodes that do not linger at the end.
 func setup(env *testscript.Env) error {
 	env.Setenv("SEQUOIAMILL_STOP_LINGER", "300ms")
 	env.Setenv("SEQUOIAMILL_PLAIN_TEXT", "callers,peers,operators")
-	const ports = 20
-	var listeners []net.Listener
+	const ports, firstPort = 20, 10_000
+	process := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+process>>8%254, process%256, scenarios.Add(1)%255)
 	for number := range ports {
-		listener := listenAnywhere()
-		listeners = append(listeners, listener)
-		env.Setenv(fmt.Sprintf("A%d", number), listener.Addr().String())
-	}
-	for _, listener := range listeners {
-		if err := listener.Close(); err != nil {
-			return err
-		}
+		env.Setenv(fmt.Sprintf("A%d", number), fmt.Sprintf("%s:%d", host, firstPort+number))
 	}
 	return nil
 }
 
-// listenAnywhere listens on a free port below those that the system gives to
-// outgoing connections, which could take the port before a process listens.
-func listenAnywhere() net.Listener {
-	const lowest, highest = 10_000, 32_000
-	for {
-		port := lowest + rand.IntN(highest-lowest)
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			return listener
-		}
-	}
-}
-
 func serve(address string, handler http.Handler) {
 	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: time.Minute}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
