Give scenarios ports that outgoing connections do not take

Cause: scenarios took ports of the system's ephemeral range and let them go before the processes bound them.

Change: the ports come from below that range, in turn within a process and from a place that differs between processes.

Ruled out: holding the listeners until the processes start, since a process binds its own.

--- a/script/script_test.go
+++ b/script/script_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -64,27 +65,46 @@
 	ts.Fatalf("no background process has the arguments %q", args[1])
 }
 
+const (
+	scenarioPorts = 20
+	// firstPort and portCount bound the ports of scenarios. They lie below those
+	// that the system gives to outgoing connections.
+	firstPort = 12_000
+	portCount = 20_000
+)
+
+// nextPort is where the search for a free port goes on, from a place that
+// differs between processes.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 1_000) }
+
 // setup gives each scenario free loopback addresses as $A0 to $A19, and nodes
-// that do not linger at the end of the scenario.
+// that do not linger at the end of the scenario. No two scenarios of a process
+// get the same address.
 func setup(env *testscript.Env) error {
 	env.Setenv("SEQUOIAMILL_STOP_LINGER", "300ms")
 	env.Setenv("SEQUOIAMILL_PLAIN_TEXT", "callers,peers,operators")
-	const ports = 20
-	var listeners []net.Listener
-	for number := range ports {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for number := range scenarioPorts {
+		address, err := freeAddress()
 		if err != nil {
 			return err
 		}
-		listeners = append(listeners, listener)
-		env.Setenv(fmt.Sprintf("A%d", number), listener.Addr().String())
+		env.Setenv(fmt.Sprintf("A%d", number), address)
 	}
-	for _, listener := range listeners {
-		if err := listener.Close(); err != nil {
-			return err
+	return nil
+}
+
+func freeAddress() (string, error) {
+	var err error
+	for range portCount {
+		var listener net.Listener
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
 		}
 	}
-	return nil
+	return "", err
 }
 
 func serve(address string, handler http.Handler) {
