--- a/script/script_test.go
+++ b/script/script_test.go
@@ -7,12 +7,12 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -30,6 +30,8 @@
 		"platform":    platform,
 		"upstream":    upstream,
 		"load":        load,
+		"once":        once,
+		"send":        send,
 		"callers":     callers,
 		"keys":        keys,
 		"get-tls":     getTLS,
@@ -50,61 +52,61 @@
 
 var signals = map[string]os.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
 
-// sendSignal signals the background process whose arguments hold a text.
+// sendSignal signals the background process whose arguments hold all texts. It
+// returns when a killed process is gone.
 func sendSignal(ts *testscript.TestScript, _ bool, args []string) {
-	const want = 2
-	if len(args) != want || signals[args[0]] == nil {
-		ts.Fatalf("usage: signal TERM|KILL|STOP|CONT arguments")
+	const least = 2
+	if len(args) < least || signals[args[0]] == nil {
+		ts.Fatalf("usage: signal TERM|KILL|STOP|CONT arguments...")
 	}
 	for _, cmd := range ts.BackgroundCmds() {
-		if strings.Contains(strings.Join(cmd.Args, " ")+" ", args[1]+" ") {
+		line := strings.Join(cmd.Args, " ") + " "
+		found := true
+		for _, text := range args[1:] {
+			found = found && strings.Contains(line, text+" ")
+		}
+		if found {
 			ts.Check(cmd.Process.Signal(signals[args[0]]))
+			for args[0] == "KILL" && cmd.Process.Signal(syscall.Signal(0)) == nil {
+				time.Sleep(time.Millisecond)
+			}
 			return
 		}
 	}
-	ts.Fatalf("no background process has the arguments %q", args[1])
+	ts.Fatalf("no background process has the arguments %q", args[1:])
 }
 
-const (
-	scenarioPorts = 20
-	// firstPort and portCount bound the ports of scenarios. They lie below those
-	// that the system gives to outgoing connections.
-	firstPort = 12_000
-	portCount = 20_000
-)
-
-// nextPort is where the search for a free port goes on, from a place that
-// differs between processes.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(os.Getpid()) * 1_000) }
-
 // setup gives each scenario free loopback addresses as $A0 to $A19, and nodes
-// that do not linger at the end of the scenario. No two scenarios of a process
-// get the same address.
+// that do not linger at the end of the scenario.
 func setup(env *testscript.Env) error {
 	env.Setenv("SEQUOIAMILL_STOP_LINGER", "300ms")
 	env.Setenv("SEQUOIAMILL_PLAIN_TEXT", "callers,peers,operators")
-	for number := range scenarioPorts {
-		address, err := freeAddress()
-		if err != nil {
+	const ports = 20
+	var listeners []net.Listener
+	for number := range ports {
+		listener := listenAnywhere()
+		listeners = append(listeners, listener)
+		env.Setenv(fmt.Sprintf("A%d", number), listener.Addr().String())
+	}
+	for _, listener := range listeners {
+		if err := listener.Close(); err != nil {
 			return err
 		}
-		env.Setenv(fmt.Sprintf("A%d", number), address)
 	}
 	return nil
 }
 
-func freeAddress() (string, error) {
-	var err error
-	for range portCount {
-		var listener net.Listener
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
-		if listener, err = net.Listen("tcp", address); err == nil {
-			return address, listener.Close()
+// listenAnywhere listens on a free port below those that the system gives to
+// outgoing connections, which could take the port before a process listens.
+func listenAnywhere() net.Listener {
+	const lowest, highest = 10_000, 32_000
+	for {
+		port := lowest + rand.IntN(highest-lowest)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return listener
 		}
 	}
-	return "", err
 }
 
 func serve(address string, handler http.Handler) {
