Take the ports of scenarios in turn

Cause: ports drawn at random can be drawn twice by scenarios that run at once. config-lost-answer failed with 'address already in use' at the platform stand-in, in the second of two runs.

Change: one counter of the process, from a random start, gives the ports.

Ruled out: fewer scenarios at once, which only makes it rarer.

Two processes that test at once can still meet, but seldom.

--- a/script/script_test.go
+++ b/script/script_test.go
@@ -7,12 +7,14 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -96,12 +98,18 @@
 	return nil
 }
 
+// nextPort is where the search for a port goes on, so that no two scenarios of
+// a process get the same one.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(math.MaxInt32)) }
+
 // listenAnywhere listens on a free port below those that the system gives to
 // outgoing connections, which could take the port before a process listens.
 func listenAnywhere() net.Listener {
 	const lowest, highest = 10_000, 32_000
 	for {
-		port := lowest + rand.IntN(highest-lowest)
+		port := lowest + nextPort.Add(1)%(highest-lowest)
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			return listener
