Let importance count in multiples of the usual work

Change: it is worth five times the mean duration of the upstream's work. The experiments take the duration of work as a setting.

Ruled out: a strict order by importance, under which low work would hold room in the queue until its deadline.

--- a/admit/order.go
+++ b/admit/order.go
@@ -9,8 +9,9 @@
 	// ageing is how much a second of waiting lowers a rank in seconds of
 	// expected duration.
 	ageing = 1.0
-	// importanceBonus is the waiting that each level of importance is worth.
-	importanceBonus = 50 * time.Millisecond
+	// importanceBonus is the waiting that each level of importance is worth, in
+	// multiples of the mean duration of work.
+	importanceBonus = 5
 
 	delayTarget   = 20 * time.Millisecond
 	delayInterval = 100 * time.Millisecond
@@ -34,7 +35,7 @@
 // length and importance for some waiting.
 func ShortestFirst() Discipline {
 	return Discipline{Rank: func(waiting Waiting, now time.Time) float64 {
-		bonus := time.Duration(waiting.Work.Importance) * importanceBonus
+		bonus := importanceBonus * time.Duration(waiting.Work.Importance) * waiting.Mean
 		return (waiting.Expected - bonus).Seconds() - ageing*now.Sub(waiting.Since).Seconds()
 	}}
 }
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -15,12 +15,14 @@
 	Since time.Time
 	// Expected is how long work on its route usually runs.
 	Expected time.Duration
+	// Mean is how long work at the upstream ran on average when it arrived.
+	Mean time.Duration
 	// Long states that its route is known for long work.
 	Long bool
 }
 
 func (gt *Gate) expect(work Work, now time.Time) Waiting {
-	return Waiting{Work: work, Since: now, Expected: gt.Usual(work.Route), Long: gt.isLong(work.Route)}
+	return Waiting{Work: work, Since: now, Expected: gt.Usual(work.Route), Mean: gt.mean, Long: gt.isLong(work.Route)}
 }
 
 func (gt *Gate) enqueue(effects []types.Effect, waiting Waiting, until, now time.Time) []types.Effect {
--- a/farm/farm.go
+++ b/farm/farm.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	result := farm.Run(farm.Settings{Upstreams: 5, Entries: 20, Demand: farm.Steady(0.5)})
+//	result := farm.Run(farm.Settings{Upstreams: 5, Entries: 20, Work: work, Demand: farm.Steady(0.5)})
 //	p99 := result.P99(farm.Short)
 package farm
 
@@ -24,8 +24,6 @@
 const (
 	// Slots is the number of works that each upstream runs at once.
 	Slots = 10
-	// MeanWork is the mean duration of short work.
-	MeanWork = 10 * time.Millisecond
 	// LongFactor is the length of long work as a multiple of short work's.
 	LongFactor = 100
 
@@ -40,6 +38,8 @@
 type Settings struct {
 	Upstreams int
 	Entries   int
+	// Work is the mean duration of short work.
+	Work time.Duration
 	// Demand is the demand as a share of the capacity.
 	Demand func(since time.Duration) float64
 	Length time.Duration
@@ -106,7 +106,7 @@
 
 // arrive plans the next call of an entry.
 func (ex *experiment) arrive(balance *route.Balance) {
-	capacity := float64(ex.Upstreams*Slots) / MeanWork.Seconds()
+	capacity := float64(ex.Upstreams*Slots) / ex.Work.Seconds()
 	rate := ex.Demand(ex.time.now.Sub(ex.start)) * capacity / float64(ex.Entries)
 	wait := time.Duration(ex.source.ExpFloat64() / rate * float64(time.Second))
 	ex.time.after(wait, func() {
@@ -119,7 +119,7 @@
 	cl := &Call{
 		Long: ex.source.Float64() < ex.Long, Importance: importanceOf(ex.source.Float64()), Arrived: ex.time.now,
 		balance: balance, route: "short", left: ex.candidates(),
-		work: time.Duration(float64(MeanWork) * (0.5 + ex.source.ExpFloat64()/2)),
+		work: time.Duration(float64(ex.Work) * (0.5 + ex.source.ExpFloat64()/2)),
 	}
 	cl.Deadline = cl.Arrived.Add(ex.Deadline)
 	if cl.Long {
--- a/farm/farm_test.go
+++ b/farm/farm_test.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	patience = 100 * time.Second
-	window   = 100 * time.Millisecond
-	longWork = 0.02
-	seeds    = 5
+	patience  = 100 * time.Second
+	shortWork = 10 * time.Millisecond
+	window    = 100 * time.Millisecond
+	longWork  = 0.02
+	seeds     = 5
 )
 
 var swing = farm.Swing{Usual: 0.7, Highest: 3, Begin: 5 * time.Second, Ramp: time.Second, Stay: 8 * time.Second}
@@ -57,7 +58,7 @@
 // one returns an experiment with one gate.
 func one(gate func() *admit.Gate) farm.Settings {
 	return farm.Settings{
-		Upstreams: 1, Entries: 1, Demand: farm.Steady(0.2), Length: 120 * time.Second, Deadline: time.Second,
+		Upstreams: 1, Entries: 1, Work: shortWork, Demand: farm.Steady(0.2), Length: 120 * time.Second, Deadline: time.Second,
 		Policy: route.RoundRobin, Gate: gate,
 	}
 }
@@ -65,7 +66,7 @@
 // five returns an experiment with five upstreams.
 func five(entries int, policy func() route.Policy) farm.Settings {
 	return farm.Settings{
-		Upstreams: 5, Entries: entries, Demand: farm.Steady(0.5), Length: 30 * time.Second, Deadline: patience,
+		Upstreams: 5, Entries: entries, Work: shortWork, Demand: farm.Steady(0.5), Length: 30 * time.Second, Deadline: patience,
 		Policy: policy, Gate: newGate,
 	}
 }
@@ -119,11 +120,15 @@
 // BenchmarkCrest measures a swing of demand to three times the capacity at one
 // gate.
 func BenchmarkCrest(b *testing.B) {
-	for _, deadline := range []time.Duration{100 * time.Millisecond, time.Second} {
-		for _, known := range gates {
-			b.Run(fmt.Sprintf("deadline-%s/%s", deadline, known.name), func(b *testing.B) {
-				reportCrest(b, crest(one(known.gate), deadline))
-			})
+	for _, work := range []time.Duration{shortWork, 250 * time.Millisecond} {
+		for _, deadlines := range []time.Duration{4, 10} {
+			for _, known := range gates {
+				b.Run(fmt.Sprintf("work-%s/deadline-%s/%s", work, deadlines*work, known.name), func(b *testing.B) {
+					settings := crest(one(known.gate), deadlines*work)
+					settings.Work = work
+					reportCrest(b, settings)
+				})
+			}
 		}
 	}
 }
