--- a/farm/farm_test.go
+++ b/farm/farm_test.go
@@ -120,15 +120,19 @@
 // BenchmarkCrest measures a swing of demand to three times the capacity at one
 // gate.
 func BenchmarkCrest(b *testing.B) {
-	for _, work := range []time.Duration{shortWork, 250 * time.Millisecond} {
-		for _, deadlines := range []time.Duration{4, 10} {
-			for _, known := range gates {
-				b.Run(fmt.Sprintf("work-%s/deadline-%s/%s", work, deadlines*work, known.name), func(b *testing.B) {
-					settings := crest(one(known.gate), deadlines*work)
-					settings.Work = work
-					reportCrest(b, settings)
-				})
-			}
+	cases := []struct{ work, deadline time.Duration }{
+		{shortWork, 4 * shortWork},
+		{shortWork, 10 * shortWork},
+		{250 * time.Millisecond, time.Second},
+		{250 * time.Millisecond, 2500 * time.Millisecond},
+	}
+	for _, run := range cases {
+		for _, known := range gates {
+			b.Run(fmt.Sprintf("work-%s/deadline-%s/%s", run.work, run.deadline, known.name), func(b *testing.B) {
+				settings := crest(one(known.gate), run.deadline)
+				settings.Work = run.work
+				reportCrest(b, settings)
+			})
 		}
 	}
 }
--- a/farm/result.go
+++ b/farm/result.go
@@ -70,7 +70,8 @@
 // Share returns the share of the chosen calls that were answered in time. It
 // leaves out those whose deadline is after the end of the experiment.
 func (re Result) Share(choice Choice) float64 {
-	return re.fraction(choice, (*Call).InTime)
+	decided := func(cl *Call) bool { return !cl.Deadline.After(re.End) }
+	return re.fraction(choice.And(decided), (*Call).InTime)
 }
 
 // Slowed returns the share of the chosen calls that a slow upstream ran.
@@ -81,7 +82,7 @@
 func (re Result) fraction(choice, wanted Choice) float64 {
 	total, found := 0, 0
 	for _, cl := range re.Calls {
-		if !choice(cl) || cl.Deadline.After(re.End) {
+		if !choice(cl) {
 			continue
 		}
 		total++
