--- a/script/script_test.go
+++ b/script/script_test.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -29,6 +30,8 @@
 		"platform":    platform,
 		"upstream":    upstream,
 		"load":        load,
+		"once":        once,
+		"send":        send,
 		"callers":     callers,
 		"keys":        keys,
 		"get-tls":     getTLS,
@@ -49,19 +52,28 @@
 
 var signals = map[string]os.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
 
-// sendSignal signals the background process whose arguments hold a text.
+// sendSignal signals the background process whose arguments hold all texts. It
+// returns when a killed process is gone.
 func sendSignal(ts *testscript.TestScript, _ bool, args []string) {
-	const want = 2
-	if len(args) != want || signals[args[0]] == nil {
-		ts.Fatalf("usage: signal TERM|KILL|STOP|CONT arguments")
+	const least = 2
+	if len(args) < least || signals[args[0]] == nil {
+		ts.Fatalf("usage: signal TERM|KILL|STOP|CONT arguments...")
 	}
 	for _, cmd := range ts.BackgroundCmds() {
-		if strings.Contains(strings.Join(cmd.Args, " ")+" ", args[1]+" ") {
+		line := strings.Join(cmd.Args, " ") + " "
+		found := true
+		for _, text := range args[1:] {
+			found = found && strings.Contains(line, text+" ")
+		}
+		if found {
 			ts.Check(cmd.Process.Signal(signals[args[0]]))
+			for args[0] == "KILL" && cmd.Process.Signal(syscall.Signal(0)) == nil {
+				time.Sleep(time.Millisecond)
+			}
 			return
 		}
 	}
-	ts.Fatalf("no background process has the arguments %q", args[1])
+	ts.Fatalf("no background process has the arguments %q", args[1:])
 }
 
 // setup gives each scenario free loopback addresses as $A0 to $A19, and nodes
@@ -72,10 +84,7 @@
 	const ports = 20
 	var listeners []net.Listener
 	for number := range ports {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
+		listener := listenAnywhere()
 		listeners = append(listeners, listener)
 		env.Setenv(fmt.Sprintf("A%d", number), listener.Addr().String())
 	}
@@ -87,6 +96,19 @@
 	return nil
 }
 
+// listenAnywhere listens on a free port below those that the system gives to
+// outgoing connections, which could take the port before a process listens.
+func listenAnywhere() net.Listener {
+	const lowest, highest = 10_000, 32_000
+	for {
+		port := lowest + rand.IntN(highest-lowest)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return listener
+		}
+	}
+}
+
 func serve(address string, handler http.Handler) {
 	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: time.Minute}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
