Prefer the sibling that answers when most fail

Cause: slowness counts against the middle sibling; when that one fails too, the only good one looked no better than it.

Ruled out: counting every difference in speed, most of which is chance.

--- a/route/policy.go
+++ b/route/policy.go
@@ -44,7 +44,7 @@
 
 func expected(rating Rating) float64 {
 	load := rating.load()
-	service := float64(rating.Usual) * math.Exp(math.Max(0, rating.Slowness))
+	service := float64(rating.Usual) * math.Exp(rating.weighed())
 	penalty := time.Duration(0)
 	if !rating.Candidate.Local {
 		penalty += hopPenalty
@@ -55,6 +55,16 @@
 	return service*(1+load+math.Max(0, load-1)) + float64(penalty)
 }
 
+// weighed returns the slowness that counts in the score. Being somewhat faster
+// than the middle sibling is chance; being far faster means that the middle one
+// is slow.
+func (r Rating) weighed() float64 {
+	if r.Slowness < -ejectAbove {
+		return r.Slowness
+	}
+	return math.Max(0, r.Slowness)
+}
+
 // load returns the work ahead of an attempt and itself as a share of the slots.
 func (r Rating) load() float64 {
 	slots := float64(max(r.Candidate.Slots, 1)) * r.Candidate.ramp(r.Now)
