--- a/core/keys.go
+++ b/core/keys.go
@@ -38,12 +38,9 @@
 }
 
 // watchKeys notes the state before an event.
-func (st *State) watchKeys(now time.Time) {
+func (st *State) watchKeys() {
 	ks := &st.keys
 	ks.incarnation = st.fleet.Self().Incarnation
-	if at, ok := ks.joined.Get(); ok && !ks.settled {
-		ks.settled = now.Sub(at) >= ks.limits.Margin
-	}
 }
 
 // trackKeys notes, after an event, from when on the node's ledger is complete.
@@ -63,6 +60,9 @@
 	} else if !ks.joined.IsSome() {
 		ks.joined = types.Some(now)
 	}
+	if at, ok := ks.joined.Get(); ok && !ks.settled {
+		ks.settled = now.Sub(at) >= ks.limits.Margin
+	}
 	owned := types.ServiceName("")
 	if self.TakesWork() && ks.joined.IsSome() {
 		owned = self.Service
