Have the stand-in say that it closes after an answer with trailers

Cause: TestAnswers failed in 3 of 80 runs: the stand-in closed a connection after a whole answer without saying so, and the next request met the close.

Change: that mode sends Connection: close, as do the others that close; what the test checks is the same.

--- a/fakes/broken.go
+++ b/fakes/broken.go
@@ -23,7 +23,7 @@
 	"close-delimited": "HTTP/1.1 200 OK\r\nSequoiamill-Request-Id: %s" + closing + "the whole or not",
 	"switching":       "HTTP/1.1 101 Switching Protocols\r\nSequoiamill-Request-Id: %s\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n",
 	"trailers": "HTTP/1.1 200 OK\r\nSequoiamill-Request-Id: %s\r\nTransfer-Encoding: chunked\r\nTrailer: X-End\r\n" +
-		"Connection: X-Hop\r\nX-Hop: 1\r\n\r\n4\r\ntext\r\n0\r\nX-End: 1\r\n\r\n",
+		"Connection: X-Hop, close\r\nX-Hop: 1\r\n\r\n4\r\ntext\r\n0\r\nX-End: 1\r\n\r\n",
 	"closed": "",
 }
 
