Send trailers from the stand-in on a connection that stays open

Ruled out: stripping headers named beside close in an upstream's answer; the standard client does not show them.

--- a/fakes/broken.go
+++ b/fakes/broken.go
@@ -22,9 +22,7 @@
 	"cut-chunk":       "HTTP/1.1 200 OK\r\nSequoiamill-Request-Id: %s\r\nTransfer-Encoding: chunked" + closing + "5\r\nstart\r\n",
 	"close-delimited": "HTTP/1.1 200 OK\r\nSequoiamill-Request-Id: %s" + closing + "the whole or not",
 	"switching":       "HTTP/1.1 101 Switching Protocols\r\nSequoiamill-Request-Id: %s\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n",
-	"trailers": "HTTP/1.1 200 OK\r\nSequoiamill-Request-Id: %s\r\nTransfer-Encoding: chunked\r\nTrailer: X-End\r\n" +
-		"Connection: X-Hop, close\r\nX-Hop: 1\r\n\r\n4\r\ntext\r\n0\r\nX-End: 1\r\n\r\n",
-	"closed": "",
+	"closed":          "",
 }
 
 // broken answers in a mode and reports whether there is one of that name.
@@ -63,6 +61,12 @@
 	case "right-digest":
 		header.Set("Content-Digest", "sha-512=:AA:, sha-256=:mC2ePrmW9VnmM/TRlN7zdh2Qn1o7ZH0ahR/q1nwyydE=:")
 		_, _ = fmt.Fprint(writer, "text")
+	case "trailers":
+		header.Set("Trailer", "X-End")
+		header.Set("Connection", "X-Hop")
+		header.Set("X-Hop", "1")
+		_, _ = fmt.Fprint(writer, "text")
+		header.Set("X-End", "1")
 	case "error":
 		writer.WriteHeader(http.StatusInternalServerError)
 	case "empty":
