Take ports above those of outgoing connections

Cause: the scenarios of package script now take their ports from the range that the experiments used, and both only test a port before a process listens on it. Change: experiments take ports from 61001 to 65534. Ruled out: one shared allocator over processes, which needs a lock file. Conclusion: go test of both packages at once no longer competes for ports.

--- a/bench/ports.go
+++ b/bench/ports.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	firstPort = 10000
-	lastPort  = 31999
+	firstPort = 61001
+	lastPort  = 65534
 )
 
-// ports hands out loopback addresses below the range that the kernel gives to
+// ports hands out loopback addresses above the range that the kernel gives to
 // outgoing connections.
 type ports struct{ next int }
 
