Send fresh keys past owners that came after them

Cause: an owner that started, or came back, less than the key margin before a key was minted stood in the key's order, and as it could not know the key the caller got outcome-unknown.

Change: the order of a key holds the owners that took work when it was minted. One that came later is left out by every node alike, by the times in its record; its own ledger refuses such a key in any case. An upstream that comes back after leaving counts as ready anew. A stopping node stays for the key margin and 2 s, as the news of leaving took up to 1.9 s in the tests of the fleet.

Ruled out: taking the entry's time of arrival for the age of a key, since the key may have come to another entry before.

Keys whose first owner was killed still end in outcome-unknown until the fleet has noticed.

--- a/core/keys.go
+++ b/core/keys.go
@@ -88,22 +88,28 @@
 }
 
 // keyOrder returns the owners of a service in the order in which a key visits
-// them: those that take work and those that took it until after an instant.
-func (st *State) keyOrder(service types.ServiceName, key types.Key, after time.Time) []keyOwner {
+// them: those that took work when it was minted, by their own clocks or by when
+// this node learned of them. An owner that came later is left out, as no entry
+// sends it the key.
+func (st *State) keyOrder(service types.ServiceName, key types.Key, minted time.Time) []keyOwner {
 	var order []keyOwner
 	for _, member := range st.fleet.Serving(service) {
-		order = append(order, keyOwner{member: member})
+		if st.keys.limits.Knows(minted, servesSince(member)) {
+			order = append(order, keyOwner{member: member})
+		}
 	}
+	after := minted.Add(-st.keys.limits.Margin)
 	for _, former := range st.fleet.Formers(service, after) {
 		current, known := st.fleet.Member(former.Member.ID)
 		same := known && current.Started.Equal(former.Member.Started)
-		if same && current.TakesWork() && current.Service == service {
+		serves := same && current.TakesWork() && current.Service == service
+		if serves && st.keys.limits.Knows(minted, servesSince(current)) {
 			continue
 		}
 		alive := same && (current.Status == fleet.Alive || current.Status == fleet.Suspect)
 		order = append(order, keyOwner{member: former.Member, gone: !alive})
 	}
-	if until, ok := st.keys.left[service]; ok && until.After(after) && st.keys.owned != service {
+	if until, ok := st.keys.left[service]; ok && until.After(after) && !slices.ContainsFunc(order, st.isSelf) {
 		order = append(order, keyOwner{member: st.fleet.Self()})
 	}
 	for at := range order {
@@ -115,6 +121,17 @@
 	return order
 }
 
+// servesSince returns from when on a member took work without a break.
+func servesSince(member fleet.Member) time.Time {
+	upstream, _ := member.Upstream.Get()
+	if upstream.ReadyAt.After(member.Started) {
+		return upstream.ReadyAt
+	}
+	return member.Started
+}
+
+func (st *State) isSelf(owner keyOwner) bool { return owner.member.ID == st.fleet.Self().ID }
+
 // compareGone orders a process that is gone before its replacement.
 func compareGone(a, b keyOwner) int {
 	switch {
@@ -134,7 +151,7 @@
 	if !ok || !limits.Knows(call.Minted, joined) {
 		return flow.Choice{}, fault.New(fault.OutcomeUnknown, "the node joined too late to know the key")
 	}
-	order := st.keyOrder(call.Route.Service, call.Key.Or(""), call.Minted.Add(-limits.Margin))
+	order := st.keyOrder(call.Route.Service, call.Key.Or(""), call.Minted)
 	left := slices.DeleteFunc(order, func(owner keyOwner) bool { return passed.Has(owner.member.ID) })
 	if len(left) == 0 {
 		return flow.Choice{}, nil
@@ -174,7 +191,7 @@
 		return err
 	}
 	self := st.fleet.Self().ID
-	for _, owner := range st.keyOrder(work.Service, key, minted.Add(-st.keys.limits.Margin)) {
+	for _, owner := range st.keyOrder(work.Service, key, minted) {
 		if owner.member.ID == self {
 			return nil
 		}
--- a/core/owner.go
+++ b/core/owner.go
@@ -27,6 +27,9 @@
 		st.upstream.readyAt = now
 		effects = st.clear(fault.NoUpstream, "the upstream changed its service")
 	}
+	if st.upstream.announcement.Leaving && !announcement.Leaving {
+		st.upstream.readyAt = now
+	}
 	st.upstream.known = true
 	st.upstream.renewed = now
 	changed := st.upstream.announcement != announcement
--- a/core/session_test.go
+++ b/core/session_test.go
@@ -122,7 +122,11 @@
 	member := memberOf(se.text("id", "b"), started)
 	member.Incarnation += uint64(se.now.Sub(epoch).Milliseconds()) + 1
 	member.Service, member.Held, member.Status = "intake", 1, fleet.Alive
-	member.Upstream = types.Some(fleet.Upstream{Slots: 4, Leaving: se.data.HasArg("leaving")})
+	ready := started
+	if ago, err := time.ParseDuration(se.text("ready-ago", "")); err == nil {
+		ready = se.now.Add(-ago)
+	}
+	member.Upstream = types.Some(fleet.Upstream{Slots: 4, ReadyAt: ready, Leaving: se.data.HasArg("leaving")})
 	if se.data.HasArg("gone") {
 		member.Status = fleet.Left
 	}
--- a/core/stop.go
+++ b/core/stop.go
@@ -8,7 +8,7 @@
 )
 
 // newsTime is how long the news of a stop takes to spread.
-const newsTime = 500 * time.Millisecond
+const newsTime = 2 * time.Second
 
 // stop is how far a graceful stop has come.
 type stop struct {
