Follow the important calls after a herd restart to the end of the run

Cause: the time until important calls are served again was cut at the end of the crest, so that every run read 1.6 s, the rest of the crest. Change: it is followed to the end of the run. Conclusion: the figure can now show a slow return.

--- a/bench/faults.go
+++ b/bench/faults.go
@@ -120,7 +120,7 @@
 	}
 	served := outcome.Class(important)
 	sh.add(ft.Variant, "all nodes know all upstreams again after", "s", ready.Seconds())
-	sh.add(ft.Variant, "important calls served again after", "s", recovery(served, killAt, cr.end).Seconds())
+	sh.add(ft.Variant, "important calls served again after", "s", recovery(served, killAt, cr.load.Length).Seconds())
 	sh.add(ft.Variant, "back to normal after the crest", "s", recovery(outcome, cr.end+time.Second, cr.load.Length).Seconds())
 	sh.add(ft.Variant, "platform reads, greatest", "per s", peak.reads)
 	sh.add(ft.Variant, "platform writes, greatest", "per s", peak.writes)
