Name the nodes that lag longer than agreed, and show the state as gauges

Cause: an operator saw which node held which version, but nothing told a node that lags for a moment from one that is late, and /metrics held counters only.

Change: status and the metric sequoiamill_config_late_nodes name live nodes that do not hold a version 10 s after it was adopted. Gauges show the version, the floor, readiness, work that runs and waits, keys held and members by state. A test of status passes the clock that the service now needs.

Ruled out: an alarm on any lag, which would sound at each change.

--- a/admin/server.go
+++ b/admin/server.go
@@ -6,11 +6,11 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"sequoiamill.example/sequoiamill/api/opsv1"
 	"sequoiamill.example/sequoiamill/api/opsv1/opsv1connect"
 	"sequoiamill.example/sequoiamill/codec"
-	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/trace"
@@ -25,15 +25,6 @@
 	statusTimeout = 500 * time.Millisecond
 )
 
-// View is what a node knows of itself and the fleet.
-type View struct {
-	Self    types.InstanceID
-	Version types.Version
-	Floor   types.Version
-	Refused conf.Refused
-	Members []fleet.Member
-}
-
 // Highest returns the highest version that a node is known to hold.
 func (v View) Highest() types.Version {
 	highest := max(v.Version, v.Floor)
@@ -47,6 +38,8 @@
 type Service struct {
 	Publisher *Publisher
 	View      func() View
+	// Now returns the present time.
+	Now func() time.Time
 	// Published tells the node of a new version in the platform.
 	Published func(version types.Version)
 	// Timeline returns the node's own events.
@@ -121,6 +114,13 @@
 	if refused := sv.refusedRoot(ctx, view); refused != nil {
 		status.RefusedRoot = refused.Error()
 	}
+	now := sv.service.Now()
+	for _, id := range view.Late(now) {
+		status.LateNodes = append(status.LateNodes, string(id))
+	}
+	if len(status.GetLateNodes()) > 0 {
+		status.LateSince = timestamppb.New(view.Since.Add(AgreedTime))
+	}
 	for _, member := range view.Members {
 		status.Nodes = append(status.Nodes, nodeToProto(member))
 	}
--- a/admin/status_test.go
+++ b/admin/status_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
@@ -47,6 +48,7 @@
 			mux.Handle(admin.NewHandler(admin.Service{
 				Publisher: bn.publisher(),
 				View:      func() admin.View { return admin.View{Self: "a", Version: 2, Refused: test.refused} },
+				Now:       time.Now,
 			}))
 			server := httptest.NewServer(mux)
 			defer server.Close()
--- a/conf/holder.go
+++ b/conf/holder.go
@@ -59,6 +59,9 @@
 // Refused returns the latest version that was not taken.
 func (h *Holder) Refused() Refused { return h.refused }
 
+// Since returns when the current snapshot was adopted.
+func (h *Holder) Since() time.Time { return h.since }
+
 // Ready reports whether a version at or above the floor is in force.
 func (h *Holder) Ready() bool {
 	return h.current.Version() > 0 && h.current.Version() >= h.floor
--- a/node/handler.go
+++ b/node/handler.go
@@ -39,6 +39,7 @@
 	return admin.NewHandler(admin.Service{
 		Publisher: nd.publisher(),
 		View:      nd.view,
+		Now:       nd.now,
 		Published: nd.published,
 		Timeline:  nd.ring.Select,
 		Collect:   nd.collect,
--- a/node/node.go
+++ b/node/node.go
@@ -107,6 +107,7 @@
 		return nil, err
 	}
 	nd.store = nd.meters.store(store)
+	nd.gauge()
 	nd.assemble()
 	return nd, nil
 }
@@ -258,6 +259,7 @@
 		view = admin.View{
 			Self:    nd.settings.Instance,
 			Version: state.Conf().Current().Version(),
+			Since:   state.Conf().Since(),
 			Floor:   state.Conf().Floor(),
 			Refused: state.Conf().Refused(),
 			Members: state.Fleet().Members(),
--- a/verbs/status.go
+++ b/verbs/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -62,6 +63,9 @@
 	if status.GetRefusedRoot() != "" {
 		out.printf("refused: %s\n", status.GetRefusedRoot())
 	}
+	if len(status.GetLateNodes()) > 0 {
+		out.printf("late since %s: %s\n", status.GetLateSince().AsTime().Format(time.RFC3339), strings.Join(status.GetLateNodes(), ", "))
+	}
 	table := tabwriter.NewWriter(out.out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "INSTANCE\tZONE\tSERVICE\tSTATE\tVERSION\tUPSTREAM")
 	for _, node := range status.GetNodes() {
