Hold open calls and jobs in one type

Cause: entry and owner each had the same locked map with the same methods.

Change: a generic set of what is under way serves both.

Ruled out: sync.Map, which hides the type of its values.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -31,8 +31,9 @@
 	now     func() time.Time
 	maxBody int64
 	nextID  atomic.Uint64
-	mu      sync.Mutex
-	calls   map[types.CallID]*openCall
+	// mu guards the attempts of each call.
+	mu    sync.Mutex
+	calls *openSet[types.CallID, *openCall]
 }
 
 type openCall struct {
@@ -60,7 +61,7 @@
 func NewEntry(self types.InstanceID, post func(types.Event), owner *Owner, forward *Forwarder, now func() time.Time) *Entry {
 	return &Entry{
 		self: self, post: post, owner: owner, forward: forward, now: now,
-		maxBody: owner.maxBody, calls: map[types.CallID]*openCall{},
+		maxBody: owner.maxBody, calls: newOpenSet[types.CallID, *openCall](),
 	}
 }
 
@@ -74,8 +75,8 @@
 	}
 	id := types.CallID(en.nextID.Add(1))
 	open := &openCall{job: job, done: make(chan result, 1), attempts: map[int]*openAttempt{}}
-	en.put(id, open)
-	defer en.remove(id)
+	en.calls.put(id, open)
+	defer en.calls.remove(id)
 	target := route.Request{Method: request.Method, Host: request.Host, Path: request.URL.Path}
 	en.post(flow.CallArrived{Call: id, Request: job.Request, Key: job.Key, Target: target, Limit: limit})
 	select {
@@ -169,7 +170,7 @@
 	case flow.Deliver:
 		en.deliver(ef)
 	case flow.Fail:
-		if open, ok := en.get(ef.Call); ok {
+		if open, ok := en.calls.get(ef.Call); ok {
 			open.done <- result{err: ef.Err}
 		}
 	default:
@@ -179,7 +180,7 @@
 }
 
 func (en *Entry) start(effect flow.StartAttempt) {
-	open, ok := en.get(effect.Call)
+	open, ok := en.calls.get(effect.Call)
 	if !ok {
 		return
 	}
@@ -229,7 +230,7 @@
 }
 
 func (en *Entry) cancel(effect flow.CancelAttempt) {
-	open, ok := en.get(effect.Call)
+	open, ok := en.calls.get(effect.Call)
 	if !ok {
 		return
 	}
@@ -241,7 +242,7 @@
 }
 
 func (en *Entry) deliver(effect flow.Deliver) {
-	open, ok := en.get(effect.Call)
+	open, ok := en.calls.get(effect.Call)
 	if !ok {
 		return
 	}
@@ -252,25 +253,6 @@
 	open.done <- end
 }
 
-func (en *Entry) put(id types.CallID, open *openCall) {
-	en.mu.Lock()
-	defer en.mu.Unlock()
-	en.calls[id] = open
-}
-
-func (en *Entry) get(id types.CallID) (*openCall, bool) {
-	en.mu.Lock()
-	defer en.mu.Unlock()
-	open, ok := en.calls[id]
-	return open, ok
-}
-
-func (en *Entry) remove(id types.CallID) {
-	en.mu.Lock()
-	defer en.mu.Unlock()
-	delete(en.calls, id)
-}
-
 func (en *Entry) write(writer http.ResponseWriter, job Job, end result) {
 	if end.err != nil {
 		writeFault(writer, job.Request, end.err)
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,8 +25,7 @@
 	meters  Meters
 	target  atomic.Pointer[target]
 	nextID  atomic.Uint64
-	mu      sync.Mutex
-	jobs    map[types.WorkID]*openJob
+	jobs    *openSet[types.WorkID, *openJob]
 }
 
 type target struct {
@@ -65,7 +63,7 @@
 func NewOwner(post func(types.Event), load func() route.Load, now func() time.Time, opts ...OwnerOption) *Owner {
 	ow := &Owner{
 		post: post, load: load, now: now,
-		maxBody: defaultMaxBody, meters: noMeters(), jobs: map[types.WorkID]*openJob{},
+		maxBody: defaultMaxBody, meters: noMeters(), jobs: newOpenSet[types.WorkID, *openJob](),
 	}
 	for _, opt := range opts {
 		opt(ow)
@@ -93,7 +91,7 @@
 	id := types.WorkID(ow.nextID.Add(1))
 	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), job.Deadline)
 	open := &openJob{job: job, reply: make(chan Reply, 1), ctx: runCtx, cancel: cancel}
-	ow.put(id, open)
+	ow.jobs.put(id, open)
 	if !job.keyed() {
 		defer ow.forget(id)
 	}
@@ -137,19 +135,19 @@
 func (ow *Owner) Run(effect types.Effect) bool {
 	switch ef := effect.(type) {
 	case admit.Dispatch:
-		if open, ok := ow.get(ef.Work.ID); ok {
+		if open, ok := ow.jobs.get(ef.Work.ID); ok {
 			go ow.dispatch(ef.Work, open)
 		}
 	case admit.Refuse:
-		if open, ok := ow.get(ef.Work.ID); ok {
+		if open, ok := ow.jobs.get(ef.Work.ID); ok {
 			open.answer(refusal(ef.Err))
 		}
 	case admit.Abort:
-		if open, ok := ow.get(ef.ID); ok {
+		if open, ok := ow.jobs.get(ef.ID); ok {
 			open.cancel()
 		}
 	case flow.Settle:
-		if open, ok := ow.get(ef.Work); ok {
+		if open, ok := ow.jobs.get(ef.Work); ok {
 			open.answer(Reply{Verdict: ef.Verdict, Err: ef.Err, PassedOn: ef.PassedOn})
 		}
 	case flow.Replay:
@@ -163,11 +161,11 @@
 }
 
 func (ow *Owner) replay(effect flow.Replay) {
-	open, ok := ow.get(effect.Work)
+	open, ok := ow.jobs.get(effect.Work)
 	if !ok {
 		return
 	}
-	first, ok := ow.get(effect.Of)
+	first, ok := ow.jobs.get(effect.Of)
 	if !ok || first.result.Load() == nil {
 		open.answer(lost(fault.New(fault.OutcomeUnknown, "the work ran and its answer is no longer kept")))
 		return
@@ -179,25 +177,9 @@
 	open.answer(reply)
 }
 
-func (ow *Owner) put(id types.WorkID, open *openJob) {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	ow.jobs[id] = open
-}
-
-func (ow *Owner) get(id types.WorkID) (*openJob, bool) {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	open, ok := ow.jobs[id]
-	return open, ok
-}
-
 func (ow *Owner) forget(id types.WorkID) {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	if open, ok := ow.jobs[id]; ok {
+	if open, ok := ow.jobs.remove(id); ok {
 		open.cancel()
-		delete(ow.jobs, id)
 	}
 }
 
