Let an owner that was away for a moment keep what it knows of keys

Cause: an upstream that left and came back made its node's ledger begin anew, so that every key of before and up to the margin after its return ended in outcome-unknown there, though while it was away, and for the margin after it left, all entries still asked it first.

Change: the ledger notes a gap, from the margin after it left to the margin after its return, instead of beginning anew.

Ruled out: no gap at all, since an entry that heard late of the leaving asks it first for keys that others sent on.

--- a/core/keys.go
+++ b/core/keys.go
@@ -21,7 +21,9 @@
 	// owned is the service whose work the node took after the last event.
 	owned types.ServiceName
 	// left holds when the node ceased to take the work of a service.
-	left        map[types.ServiceName]time.Time
+	left map[types.ServiceName]time.Time
+	// missed states that the node did not know the fleet since it took work.
+	missed      bool
 	incarnation uint64
 	// joined is when the node last came to know the fleet.
 	joined types.Option[time.Time]
@@ -57,6 +59,7 @@
 	}
 	if joined := st.fleet.Joined(); !joined {
 		ks.joined = types.None[time.Time]()
+		ks.missed = true
 	} else if !ks.joined.IsSome() {
 		ks.joined = types.Some(now)
 	}
@@ -74,11 +77,23 @@
 		ks.left[ks.owned] = now
 	}
 	if owned != "" {
-		ks.ledger.Renew(now)
+		ks.returned(owned, now)
 	}
 	ks.owned = owned
 }
 
+// returned notes that the node takes work of a service from now on. A node that
+// was absent but knew the fleet was asked first for the keys of before.
+func (ks *keys) returned(service types.ServiceName, now time.Time) {
+	left, served := ks.left[service]
+	if served && !ks.missed {
+		ks.ledger.Return(left, now)
+	} else {
+		ks.ledger.Renew(now)
+	}
+	ks.missed = false
+}
+
 // keyOwner is one place in the owner order of a key.
 type keyOwner struct {
 	member fleet.Member
--- a/flow/ledger.go
+++ b/flow/ledger.go
@@ -33,7 +33,9 @@
 	maxKeys  int
 	maxBytes int
 	// since is the instant from which on no key can have escaped the ledger.
-	since   time.Time
+	since time.Time
+	// gaps are the mint times of keys that may have escaped it since then.
+	gaps    []gap
 	latest  time.Time
 	started bool
 	keys    map[types.Key]*keyRecord
@@ -107,6 +109,33 @@
 	}
 }
 
+// maxGaps bounds the gaps that a ledger tells apart.
+const maxGaps = 64
+
+// gap is a span of mint times.
+type gap struct{ from, to time.Time }
+
+// Return states that the node did not take work between two instants, though
+// it knew the fleet. Keys minted less than the margin after it left still came
+// to it first.
+func (ld *Ledger) Return(left, back time.Time) {
+	if len(ld.gaps) == maxGaps {
+		ld.since = ld.gaps[0].to.Add(-ld.limits.Margin)
+		ld.gaps = ld.gaps[1:]
+	}
+	ld.gaps = append(ld.gaps, gap{from: left.Add(ld.limits.Margin), to: back.Add(ld.limits.Margin)})
+}
+
+// complete reports whether no key of a mint time can have escaped the ledger.
+func (ld *Ledger) complete(minted time.Time) bool {
+	for _, missed := range ld.gaps {
+		if !minted.Before(missed.from) && minted.Before(missed.to) {
+			return false
+		}
+	}
+	return ld.limits.Knows(minted, ld.since)
+}
+
 // Knows reports whether the key of a work arrived before.
 func (ld *Ledger) Knows(work admit.Work) bool {
 	key, _, err := ParseKey(work.Key.Or(""))
@@ -128,8 +157,8 @@
 	if record, ok := ld.keys[key]; ok {
 		return ld.repeat(work, key, record), false
 	}
-	if !ld.limits.Knows(minted, ld.since) {
-		err := fault.New(fault.OutcomeUnknown, "the owner cannot know keys minted before %s", ld.since.Add(ld.limits.Margin).Format(time.RFC3339))
+	if !ld.complete(minted) {
+		err := fault.New(fault.OutcomeUnknown, "the owner cannot know keys minted at %s", minted.UTC().Format(time.RFC3339))
 		return settle(work.ID, Lost, err, false), false
 	}
 	if len(ld.keys) >= ld.maxKeys {
