--- a/script/script_test.go
+++ b/script/script_test.go
@@ -141,10 +141,15 @@
 	}
 	padding := strings.Repeat(" ", max(0, *size-len(body)))
 	response, err := http.Post(flag.Arg(0), "application/json", strings.NewReader(string(body)+padding))
-	if err != nil || response.StatusCode != http.StatusOK {
-		fail("%v %v", response, err)
+	if err != nil {
+		fail("%v", err)
 	}
+	answer, _ := io.ReadAll(response.Body)
 	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		fail("%s %s", response.Status, answer)
+	}
+	fmt.Printf("%s\n", answer)
 }
 
 // eventually repeats a command line until its output holds a text.
