--- a/core/entry.go
+++ b/core/entry.go
@@ -20,6 +20,9 @@
 	if err != nil {
 		return append(effects, refuseCall(event, err)...)
 	}
+	if len(found.Split) > 0 {
+		found = found.WithService(st.splits.Choose(found))
+	}
 	limit := min(found.Deadline, event.Limit.Or(found.Deadline))
 	call := flow.Call{ID: event.Call, Request: event.Request, Key: event.Key, Route: found, Deadline: now.Add(limit)}
 	call, err = st.withKey(call, now)
--- a/core/event.go
+++ b/core/event.go
@@ -23,12 +23,34 @@
 
 // Announcement is what an upstream tells its own node about itself.
 type Announcement struct {
+	// Process names the upstream's process and Born is when it started, if the
+	// upstream tells so. A later process takes the place of an earlier one.
+	Process types.ProcessID
+	Born    time.Time
+	// Sequence orders the announcements of one process; 0 means that they are
+	// taken in the order of arrival.
+	Sequence uint64
+	// Address is where the upstream takes work.
+	Address     types.Address
 	Service     types.ServiceName
 	Slots       int
 	Connections int
 	WarmUp      time.Duration
 	// Leaving states that the upstream wants no new work.
 	Leaving bool
+	// Gone states that the upstream ends; it goes on with what it runs.
+	Gone bool
+}
+
+// supersedes reports whether an announcement is later than another one.
+func (an Announcement) supersedes(old Announcement) bool {
+	if !an.Born.Equal(old.Born) {
+		return an.Born.After(old.Born)
+	}
+	if an.Process != old.Process || an.Sequence == 0 || old.Sequence == 0 {
+		return true
+	}
+	return an.Sequence > old.Sequence
 }
 
 // UpstreamAnnounced is the event that the local upstream announced itself.
@@ -43,6 +65,15 @@
 // Event marks the type as an event.
 func (StopAsked) Event() {}
 
+// UseUpstream is the effect to send work to an upstream's process from now on.
+type UseUpstream struct {
+	Process types.ProcessID
+	Address types.Address
+}
+
+// Effect marks the type as an effect.
+func (UseUpstream) Effect() {}
+
 // WatchPlatform is the effect to start or end watching the platform's root.
 type WatchPlatform struct{ On bool }
 
--- a/core/owner.go
+++ b/core/owner.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"strconv"
 	"time"
 
 	"sequoiamill.example/sequoiamill/admit"
@@ -19,20 +20,36 @@
 	known        bool
 	renewed      time.Time
 	readyAt      time.Time
+	// unreached states that the upstream took no connection since it announced
+	// itself last.
+	unreached bool
 }
 
 func (st *State) announced(announcement Announcement, now time.Time) []types.Effect {
 	var effects []types.Effect
-	if !st.upstream.known || st.upstream.announcement.Service != announcement.Service {
+	last := st.upstream.announcement
+	if !announcement.supersedes(last) {
+		detail := "out of order, sequence " + strconv.FormatUint(announcement.Sequence, 10)
+		return []types.Effect{trace.Event{Kind: trace.AnnouncementIgnored, Subject: st.fleet.Self().ID, Detail: detail}}
+	}
+	st.upstream.unreached = false
+	if announcement.Gone {
+		st.upstream.announcement = announcement
+		return st.forgetUpstream("it ended")
+	}
+	if !st.upstream.known || last.Service != announcement.Service || last.Process != announcement.Process || last.Address != announcement.Address {
+		effects = append(effects, UseUpstream{Process: announcement.Process, Address: announcement.Address})
+	}
+	if !st.upstream.known || last.Service != announcement.Service || last.Process != announcement.Process {
 		st.upstream.readyAt = now
-		effects = st.clear(fault.NoUpstream, "the upstream changed its service")
+		effects = append(effects, st.clear(fault.NoUpstream, "another upstream took its place")...)
 	}
 	if st.upstream.announcement.Leaving && !announcement.Leaving {
 		st.upstream.readyAt = now
 	}
-	st.upstream.known = true
 	st.upstream.renewed = now
-	changed := st.upstream.announcement != announcement
+	changed := !st.upstream.known || last.Leaving != announcement.Leaving || last.Process != announcement.Process || last.Service != announcement.Service
+	st.upstream.known = true
 	st.upstream.announcement = announcement
 	effects = append(effects, st.refreshUpstream(now)...)
 	if !changed {
@@ -54,7 +71,7 @@
 		return nil
 	}
 	if now.Sub(st.upstream.renewed) > announcementExpiry {
-		return st.forgetUpstream()
+		return st.forgetUpstream("its announcement expired")
 	}
 	announcement := st.upstream.announcement
 	upstream := fleet.Upstream{
@@ -78,10 +95,14 @@
 	return append(effects, st.gate.SetSlots(opening.slots(upstream), now)...)
 }
 
-func (st *State) forgetUpstream() []types.Effect {
-	st.upstream = local{}
+// forgetUpstream keeps the last announcement, so that a late one is known by it.
+func (st *State) forgetUpstream(reason string) []types.Effect {
+	if !st.upstream.known {
+		return nil
+	}
+	st.upstream = local{announcement: st.upstream.announcement}
 	st.fleet.SetUpstream("", types.None[fleet.Upstream]())
-	event := trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: "announcement expired"}
+	event := trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: reason}
 	return append(st.clear(fault.NoUpstream, "the upstream is gone"), event)
 }
 
@@ -93,6 +114,18 @@
 	return st.gate.Clear(fault.New(kind, "%s", reason).WithRetryAfter(comeBackSoon))
 }
 
+// workEnded frees the slot of a work. An upstream that takes no connection gets
+// no more work until it announces itself again.
+func (st *State) workEnded(event admit.Ended, now time.Time) []types.Effect {
+	effects := st.keys.ledger.Ended(event, now)
+	if event.Err != nil && event.Err.Kind == fault.Unreachable && st.upstream.known && !st.upstream.unreached {
+		st.upstream.unreached = true
+		effects = append(effects, trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: event.Err.Message})
+		effects = append(effects, st.clear(fault.NoUpstream, "the upstream takes no connections")...)
+	}
+	return append(effects, st.gate.End(event.ID, event.Elapsed, now)...)
+}
+
 func (st *State) workArrived(work admit.Work, now time.Time) []types.Effect {
 	if work.Keyed() {
 		if effects, fresh := st.keyedArrived(work, now); !fresh {
@@ -118,6 +151,8 @@
 		return fault.New(fault.NotReady, "the upstream's node has not joined the fleet").WithRetryAfter(comeBackSoon)
 	case !st.upstream.known || st.upstream.announcement.Service != work.Service:
 		return fault.New(fault.NoUpstream, "the node owns no upstream of service %q", work.Service).WithRetryAfter(comeBackSoon)
+	case st.upstream.unreached:
+		return fault.New(fault.NoUpstream, "the upstream takes no connections").WithRetryAfter(comeBackSoon)
 	case st.upstream.announcement.Leaving:
 		return fault.New(fault.Closed, "the upstream is leaving").WithRetryAfter(comeBackSoon)
 	case !st.opening(st.fleet.Self(), now).takes(st.gate.Usual(work.Route), now):
--- a/core/state.go
+++ b/core/state.go
@@ -26,6 +26,7 @@
 	openings openings
 	// candidates is reused by each choice of an upstream.
 	candidates []route.Candidate
+	splits     *route.Splits
 	policies   Policies
 	lastTick   time.Time
 	// current is the version of the platform's root when it was last read.
@@ -41,6 +42,7 @@
 	linger   time.Duration
 	limits   flow.KeyLimits
 	ledger   []flow.LedgerOption
+	calls    []flow.Option
 }
 
 // Option changes a setting of a state.
@@ -72,6 +74,11 @@
 	return func(se *settings) { se.limits, se.ledger = limits, opts }
 }
 
+// WithCalls sets options of the calls in flight.
+func WithCalls(opts ...flow.Option) Option {
+	return func(se *settings) { se.calls = opts }
+}
+
 // New returns the state of a node that has just started.
 func New(self fleet.Member, opts ...Option) *State {
 	se := settings{policies: DefaultPolicies(), limits: flow.DefaultKeyLimits()}
@@ -84,11 +91,15 @@
 		balance:  route.NewBalance(se.policies.balance(), route.WithSeed(se.seed)),
 		gate:     admit.NewGate(se.gateOptions()...),
 		keys:     newKeys(se.limits, se.ledger),
+		splits:   route.NewSplits(se.seed),
 		policies: se.policies,
 		stop:     stop{linger: se.linger},
 	}
-	seams := flow.Seams{Pick: st.pick, Next: st.nextOwner, Began: st.balance.Began, Ended: st.balance.Ended}
-	st.calls = flow.NewTable(seams, flow.WithHedge(se.policies.Hedge))
+	seams := flow.Seams{
+		Pick: st.pick, Next: st.nextOwner, Began: st.balance.Began, Ended: st.balance.Ended,
+		Nodes: func() int { return st.fleet.Live() + 1 },
+	}
+	st.calls = flow.NewTable(seams, append([]flow.Option{flow.WithHedge(se.policies.Hedge)}, se.calls...)...)
 	return st
 }
 
@@ -146,7 +157,7 @@
 	case admit.Arrived:
 		return st.workArrived(ev.Work, now)
 	case admit.Ended:
-		return append(st.keys.ledger.Ended(ev, now), st.gate.End(ev.ID, ev.Elapsed, now)...)
+		return st.workEnded(ev, now)
 	case admit.Canceled:
 		return st.workCanceled(ev.ID, now)
 	default:
@@ -184,6 +195,7 @@
 		case conf.Adopted:
 			st.routes = route.NewTable(ef.Snapshot)
 			st.calls.Keep(ef.Snapshot)
+			st.splits.Keep(ef.Snapshot)
 			st.fleet.Hold(ef.Snapshot.Version(), ef.Snapshot.Digest())
 			events = append(events, trace.Event{Kind: trace.ConfigAdopted, Version: ef.Snapshot.Version()})
 			events = append(events, st.refreshUpstream(now)...)
--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -108,7 +108,6 @@
 // upstream is a sample upstream that answers with its name.
 type upstream struct {
 	announcement core.Announcement
-	address      types.Address
 	node         *node.Node
 	mu           sync.Mutex
 }
@@ -132,9 +131,10 @@
 	go func() { _ = server.Serve(listener) }()
 	context.AfterFunc(ctx, func() { _ = server.Shutdown(context.Background()) })
 	up := &upstream{
-		announcement: core.Announcement{Service: "job-status", Slots: sampleSlots, Connections: sampleConnections},
-		address:      types.Address(listener.Addr().String()),
-		node:         nd,
+		announcement: core.Announcement{
+			Address: types.Address(listener.Addr().String()), Service: "job-status", Slots: sampleSlots, Connections: sampleConnections,
+		},
+		node: nd,
 	}
 	go up.announce(ctx)
 	return up, nil
@@ -156,7 +156,7 @@
 func (up *upstream) tell() {
 	up.mu.Lock()
 	defer up.mu.Unlock()
-	up.node.Announce(up.address, up.announcement)
+	up.node.Announce(up.announcement)
 }
 
 // leave announces that the upstream takes no new work.
--- a/fault/kind.go
+++ b/fault/kind.go
@@ -32,6 +32,7 @@
 	ConfigRefused
 	PlatformUnavailable
 	KeyReused
+	Expired
 	kindCount
 )
 
@@ -55,6 +56,7 @@
 	ConfigRefused:       "config-refused",
 	PlatformUnavailable: "platform-unavailable",
 	KeyReused:           "key-reused",
+	Expired:             "expired",
 }
 
 // String returns the kebab-case name of the kind.
--- a/fault/table.go
+++ b/fault/table.go
@@ -36,6 +36,7 @@
 	codeResourceExhausted  RPCCode = 8
 	codeFailedPrecondition RPCCode = 9
 	codeAborted            RPCCode = 10
+	codeOutOfRange         RPCCode = 11
 	codeInternal           RPCCode = 13
 	codeUnavailable        RPCCode = 14
 	codeDataLoss           RPCCode = 15
@@ -75,6 +76,7 @@
 	ConfigRefused:       {422, codeFailedPrecondition, NotRun, false, 17},
 	PlatformUnavailable: {503, codeUnavailable, NotRun, true, 18},
 	KeyReused:           {409, codeAlreadyExists, NotRun, false, 19},
+	Expired:             {410, codeOutOfRange, NotRun, false, 20},
 }
 
 // AnswerOf returns the answer for a kind.
--- a/flow/budget.go
+++ b/flow/budget.go
@@ -3,36 +3,88 @@
 import "time"
 
 const (
-	retryShare     = 0.1
-	retryPerSecond = 1
-	retryBurst     = 20
-	retryStart     = 10
-
 	hedgeShare = 0.05
 	hedgeBurst = 10
 
+	// budgetUse is the part of the budget that nodes spend, as their windows
+	// and their views of the fleet differ from each other's.
+	budgetUse = 0.6
+	// windowSteps is the number of parts of a window that are counted apart.
+	windowSteps = 10
+
 	// overloadMemory is how long a refusal keeps hedges back.
 	overloadMemory = time.Second
 )
 
-// bucket holds tokens for extra attempts.
+// Budget bounds the repeats that all nodes together send to one service in any
+// span of a length: a ratio of the requests in it, and a number besides.
+type Budget struct {
+	Ratio  float64
+	Window time.Duration
+	Slack  float64
+}
+
+// DefaultBudget returns the budget of a node that is told none.
+func DefaultBudget() Budget {
+	return Budget{Ratio: 0.1, Window: 10 * time.Second, Slack: 20}
+}
+
+// share returns what one of several nodes may spend.
+func (bu Budget) share(nodes int) Budget {
+	bu.Ratio *= budgetUse
+	bu.Slack *= budgetUse / float64(nodes)
+	return bu
+}
+
+// allows reports whether one more repeat fits.
+func (bu Budget) allows(requests, repeats float64) bool {
+	return repeats+1 <= bu.Ratio*requests+bu.Slack
+}
+
+// span counts events in the latest stretch of time.
+type span struct {
+	step   time.Duration
+	counts [windowSteps + 1]float64
+	latest int64
+}
+
+func newSpan(length time.Duration) span { return span{step: length / windowSteps} }
+
+// advance drops what has become too old.
+func (sp *span) advance(now time.Time) {
+	at := now.UnixNano() / int64(sp.step)
+	for ; sp.latest < at; sp.latest++ {
+		if at-sp.latest > int64(len(sp.counts)) {
+			sp.latest = at - int64(len(sp.counts))
+		}
+		sp.counts[(sp.latest+1)%int64(len(sp.counts))] = 0
+	}
+}
+
+func (sp *span) add(now time.Time) {
+	sp.advance(now)
+	sp.counts[sp.latest%int64(len(sp.counts))]++
+}
+
+func (sp *span) sum(now time.Time) float64 {
+	sp.advance(now)
+	total := 0.0
+	for _, count := range sp.counts {
+		total += count
+	}
+	return total
+}
+
+// bucket holds tokens for hedges.
 type bucket struct {
-	tokens    float64
-	burst     float64
-	perSecond float64
-	updated   time.Time
+	tokens float64
+	burst  float64
 }
 
 func (bk *bucket) credit(tokens float64) { bk.tokens = min(bk.burst, bk.tokens+tokens) }
 
 // take uses a token if there is one.
-func (bk *bucket) take(now time.Time) bool {
-	if elapsed := now.Sub(bk.updated); bk.perSecond > 0 && elapsed > 0 {
-		if !bk.updated.IsZero() {
-			bk.credit(elapsed.Seconds() * bk.perSecond)
-		}
-		bk.updated = now
-	}
+func (bk *bucket) take() bool {
 	if bk.tokens < 1 {
 		return false
 	}
@@ -42,17 +94,26 @@
 
 // allowance bounds the extra attempts at one service.
 type allowance struct {
-	retries bucket
-	hedges  bucket
+	requests span
+	repeats  span
+	hedges   bucket
 	// refused is when an owner last refused for overload.
 	refused time.Time
 }
 
-func newAllowance() *allowance {
-	return &allowance{
-		retries: bucket{tokens: retryStart, burst: retryBurst, perSecond: retryPerSecond},
-		hedges:  bucket{burst: hedgeBurst},
+func newAllowance(window time.Duration) *allowance {
+	return &allowance{requests: newSpan(window), repeats: newSpan(window), hedges: bucket{burst: hedgeBurst}}
+}
+
+func (al *allowance) request(now time.Time) { al.requests.add(now) }
+
+// repeat uses a part of the budget if there is one left.
+func (al *allowance) repeat(budget Budget, now time.Time) bool {
+	if !budget.allows(al.requests.sum(now), al.repeats.sum(now)) {
+		return false
 	}
+	al.repeats.add(now)
+	return true
 }
 
 func (al *allowance) overloaded(now time.Time) bool {
--- a/flow/event.go
+++ b/flow/event.go
@@ -74,6 +74,8 @@
 	Attempt int
 	Verdict Verdict
 	Err     *fault.Error
+	// Reached states that the upstream itself refused the work.
+	Reached bool
 	// PassedOn states that the owner will never run the key of this call.
 	PassedOn bool
 	Load     route.Load
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -21,8 +21,10 @@
 	table           *flow.Table
 	now             time.Time
 	calls, attempts int
-	successes       int
 	hedges          int
+	// requests and repeats hold when calls began and when an attempt followed
+	// one that had reached an upstream.
+	requests, repeats []time.Time
 }
 
 func newLoad() *load {
@@ -45,6 +47,7 @@
 // call begins a call and ends each attempt with a verdict.
 func (ld *load) call(hedge bool, end func() flow.Verdict) {
 	ld.calls++
+	ld.requests = append(ld.requests, ld.now)
 	id := types.CallID(ld.calls)
 	call := flow.Call{
 		ID: id, Deadline: ld.now.Add(time.Minute),
@@ -61,12 +64,14 @@
 		attempt++
 		ld.attempts++
 		event := flow.AttemptEnded{Call: id, Attempt: attempt, Verdict: end(), Elapsed: time.Millisecond}
-		if event.Verdict == flow.Answered {
-			ld.successes++
-		} else {
+		if event.Verdict != flow.Answered {
 			event.Err = fault.New(fault.Overloaded, "full")
 		}
+		event.Reached = event.Verdict == flow.NotRun
 		effects = ld.table.Ended(event, ld.now)
+		for range starts(effects) {
+			ld.repeats = append(ld.repeats, ld.now)
+		}
 		if hedge {
 			break
 		}
@@ -84,7 +89,8 @@
 	return count
 }
 
-// TestRetryBudget bounds the attempts of a service whatever its answers are.
+// TestRetryBudget bounds the repeats at a service in each window, whatever the
+// verdicts are.
 func TestRetryBudget(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		ld := newLoad()
@@ -97,14 +103,27 @@
 			})
 			ld.now = ld.now.Add(time.Duration(rapid.IntRange(0, 50).Draw(rt, "millis")) * time.Millisecond)
 		}
-		const first = 10
-		limit := float64(ld.calls) + first + 0.1*float64(ld.successes) + ld.now.Sub(epoch).Seconds()
-		if float64(ld.attempts) > limit+0.001 {
-			rt.Fatalf("%d attempts for %d calls, %d answered, above %.1f", ld.attempts, ld.calls, ld.successes, limit)
+		budget := flow.DefaultBudget()
+		for _, end := range ld.repeats {
+			from := end.Add(-budget.Window)
+			limit := budget.Ratio*float64(within(ld.requests, from, end)) + budget.Slack
+			if count := within(ld.repeats, from, end); float64(count) > limit {
+				rt.Fatalf("%d repeats in a window, above %.1f", count, limit)
+			}
 		}
 	})
 }
 
+func within(times []time.Time, from, end time.Time) int {
+	count := 0
+	for _, at := range times {
+		if at.After(from) && !at.After(end) {
+			count++
+		}
+	}
+	return count
+}
+
 // TestHedgeBudget asks for a hedge of every call.
 func TestHedgeBudget(t *testing.T) {
 	is := is.New(t)
--- a/flow/hedge.go
+++ b/flow/hedge.go
@@ -33,7 +33,7 @@
 		return nil
 	}
 	target, ok := tb.seams.Pick(pr.call, pr.tried, now)
-	if !ok || !al.hedges.take(now) {
+	if !ok || !al.hedges.take() || !al.repeat(tb.share(), now) {
 		return nil
 	}
 	effects := []types.Effect{
--- a/flow/table.go
+++ b/flow/table.go
@@ -11,7 +11,12 @@
 )
 
 const (
-	maxAttempts       = 4
+	// defaultUpstreams is the number of upstreams that a call is sent to at
+	// most if its route names none.
+	defaultUpstreams = 4
+	// maxAttempts bounds the attempts of a call, those that owners refused
+	// included.
+	maxAttempts       = 6
 	defaultRetryAfter = 200 * time.Millisecond
 )
 
@@ -45,6 +50,8 @@
 	Next func(call Call, passed types.Set[types.InstanceID], now time.Time) (Choice, *fault.Error)
 	// Began and Ended report attempts to the balance.
 	Began func(target route.Candidate, now time.Time)
+	// Nodes returns the number of nodes that share the budgets.
+	Nodes func() int
 	Ended func(sample route.Sample, now time.Time)
 }
 
@@ -52,6 +59,7 @@
 type Table struct {
 	seams      Seams
 	hedge      bool
+	budget     Budget
 	calls      map[types.CallID]*progress
 	allowances map[types.ServiceName]*allowance
 	delays     map[types.RouteName]*delays
@@ -64,7 +72,9 @@
 	refused  types.Set[types.InstanceID]
 	open     map[int]attempt
 	attempts int
-	lost     bool
+	// reached counts the attempts that came to an upstream or may have.
+	reached int
+	lost    bool
 	// passed states that an owner had passed the key on before.
 	passed   bool
 	last     *fault.Error
@@ -84,10 +94,16 @@
 	return func(tb *Table) { tb.hedge = allowed }
 }
 
+// WithBudget sets how many repeats all nodes together may send to a service.
+func WithBudget(budget Budget) Option {
+	return func(tb *Table) { tb.budget = budget }
+}
+
 // NewTable returns an empty table.
 func NewTable(seams Seams, opts ...Option) *Table {
 	tb := &Table{
 		seams:      seams,
+		budget:     DefaultBudget(),
 		calls:      map[types.CallID]*progress{},
 		allowances: map[types.ServiceName]*allowance{},
 		delays:     map[types.RouteName]*delays{},
@@ -105,7 +121,10 @@
 func (tb *Table) Keep(snapshot conf.Snapshot) {
 	services, routes := map[types.ServiceName]bool{}, map[types.RouteName]bool{}
 	for _, configured := range snapshot.Routes() {
-		services[configured.Service], routes[configured.Name] = true, true
+		routes[configured.Name] = true
+		for _, service := range configured.Services() {
+			services[service] = true
+		}
 	}
 	for name := range tb.allowances {
 		if !services[name] {
@@ -121,7 +140,7 @@
 
 // Begin starts the first attempt of a call.
 func (tb *Table) Begin(call Call, now time.Time) []types.Effect {
-
+	tb.allowance(call.Route.Service).request(now)
 	pr := &progress{call: call, open: map[int]attempt{}}
 	tb.calls[call.ID] = pr
 	effects := tb.next(pr, now)
@@ -148,7 +167,6 @@
 	delete(pr.open, event.Attempt)
 	tb.seams.Ended(sampleOf(ended.target, event), now)
 	if event.Verdict == Answered {
-		tb.allowance(pr.call.Route.Service).retries.credit(retryShare)
 		tb.delay(pr.call.Route.Name).observe(event.Elapsed)
 		return tb.deliver(pr, event.Attempt, now)
 	}
@@ -165,6 +183,9 @@
 // note keeps what the error of an attempt tells.
 func (tb *Table) note(pr *progress, target types.InstanceID, event AttemptEnded, now time.Time) {
 	pr.last = event.Err
+	if event.Reached || event.Verdict == Lost {
+		pr.reached++
+	}
 	if event.Verdict == Lost {
 		pr.lost = true
 	} else {
@@ -204,7 +225,10 @@
 	if !now.Add(usual).Before(pr.call.Deadline) {
 		return tb.fail(pr, pr.final(), now)
 	}
-	if (pr.lost || costs(event)) && !tb.allowance(pr.call.Route.Service).retries.take(now) {
+	if pr.reached >= pr.mostUpstreams() {
+		return tb.fail(pr, pr.final(), now)
+	}
+	if pr.reached > 0 && !tb.allowance(pr.call.Route.Service).repeat(tb.share(), now) {
 		effects := []types.Effect{trace.Count{Counter: trace.RetriesDenied}}
 		return append(effects, tb.fail(pr, pr.final(), now)...)
 	}
@@ -217,18 +241,21 @@
 	return append(effects, trace.Count{Counter: trace.AttemptsRetried}, retried)
 }
 
-// costs reports whether a retry after an attempt uses the budget: those that
-// reached no upstream and no busy owner do not add to the load.
-func costs(event AttemptEnded) bool {
-	if event.Verdict == Unsent || event.PassedOn && event.Err.Outcome == fault.Unknown {
-		return false
-	}
-	switch event.Err.Kind {
-	case fault.Stopping, fault.Closed, fault.NoUpstream, fault.NotReady:
-		return event.Verdict != NotRun
-	default:
-		return true
+// mostUpstreams returns how many upstreams the call may be sent to.
+func (pr *progress) mostUpstreams() int {
+	if most := pr.call.Route.Attempts; most > 0 {
+		return most
+	}
+	return defaultUpstreams
+}
+
+// share returns this node's part of the budget.
+func (tb *Table) share() Budget {
+	nodes := 1
+	if tb.seams.Nodes != nil {
+		nodes = max(1, tb.seams.Nodes())
 	}
+	return tb.budget.share(nodes)
 }
 
 // Cancel gives a call up whose caller went away.
@@ -312,7 +339,7 @@
 func (tb *Table) allowance(service types.ServiceName) *allowance {
 	al, ok := tb.allowances[service]
 	if !ok {
-		al = newAllowance()
+		al = newAllowance(tb.budget.Window)
 		tb.allowances[service] = al
 	}
 	return al
--- a/node/call_bench_test.go
+++ b/node/call_bench_test.go
@@ -75,7 +75,7 @@
 
 func announce(ctx context.Context, owner *node.Node, address types.Address) {
 	for ctx.Err() == nil {
-		owner.Announce(address, core.Announcement{Service: "intake", Slots: 10, Connections: 100})
+		owner.Announce(core.Announcement{Address: address, Service: "intake", Slots: 10, Connections: 100})
 		time.Sleep(time.Second)
 	}
 }
--- a/node/directory.go
+++ b/node/directory.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// startSpread is the time over which the nodes of a fleet that start
+	// DefaultSpread is the time over which the nodes of a fleet that start
 	// together spread their first reads, and again their writes.
-	startSpread = 3 * time.Second
+	DefaultSpread = 3 * time.Second
 	// refreshInterval is the time between reads of the directory.
 	refreshInterval = 10 * time.Minute
 	aloneInterval   = 2 * time.Second
@@ -48,27 +48,15 @@
 // the peers that it is told of or finds there.
 func (nd *Node) join(ctx context.Context) error {
 	nd.loop.post(fleet.SeedsFound{Addresses: nd.settings.Peers})
-	sleep(ctx, spread(startSpread))
+	sleep(ctx, spread(nd.settings.Spread))
 	nd.rootAsked(1)
-	nd.findPeers(ctx)
-	sleep(ctx, spread(startSpread))
 	nd.keepRecord(ctx)
 	return nil
 }
 
-// findPeers reads the directory until a peer is known.
-func (nd *Node) findPeers(ctx context.Context) {
-	pause := newBackoff()
-	for ctx.Err() == nil && nd.alone() {
-		if _, err := nd.readDirectory(ctx); err == nil {
-			return
-		}
-		pause.sleep(ctx)
-	}
-}
-
-// keepRecord writes the node's record and reads the directory, now and then,
-// or often while no other node is known.
+// keepRecord writes the node's record and then reads the directory, now and
+// then, or often while no other node is known. As each node writes before it
+// reads, of two that start together one finds the other.
 func (nd *Node) keepRecord(ctx context.Context) {
 	pause := newBackoff()
 	for ctx.Err() == nil {
@@ -203,4 +191,9 @@
 }
 
 // spread returns a random part of a time.
-func spread(limit time.Duration) time.Duration { return rand.N(limit) }
+func spread(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	return rand.N(limit)
+}
--- a/node/effect.go
+++ b/node/effect.go
@@ -43,6 +43,8 @@
 		go nd.pull(ef)
 	case fleet.Superseded:
 		nd.supersede()
+	case core.UseUpstream:
+		nd.owner.SetUpstream(ef.Process, ef.Address)
 	case core.ReadRoot:
 		nd.rootAsked(ef.Epoch)
 	case core.WatchPlatform:
--- a/node/handler.go
+++ b/node/handler.go
@@ -87,9 +87,7 @@
 }
 
 func (nd *Node) serveReady(ctx echo.Context) error {
-	ready := false
-	nd.loop.read(func(state *core.State) { ready = state.Ready() })
-	if !ready {
+	if !nd.Ready() {
 		return ctx.String(http.StatusServiceUnavailable, "not ready\n")
 	}
 	return ctx.String(http.StatusOK, "ready\n")
@@ -122,7 +120,8 @@
 	if err := wire.validate(); err != nil {
 		return answerFault(ctx, fault.From(err))
 	}
-	nd.Announce(types.Address(wire.Address), core.Announcement{
+	nd.Announce(core.Announcement{
+		Address:     types.Address(wire.Address),
 		Service:     types.ServiceName(wire.Service),
 		Slots:       wire.Slots,
 		Connections: wire.Connections,
@@ -133,11 +132,15 @@
 }
 
 // Announce tells the node about its local upstream.
-func (nd *Node) Announce(address types.Address, announcement core.Announcement) {
-	nd.owner.SetUpstream(address, announcement.Connections)
+func (nd *Node) Announce(announcement core.Announcement) {
 	nd.loop.post(core.UpstreamAnnounced{Announcement: announcement})
 }
 
+// Refused notes an announcement that could not be read.
+func (nd *Node) Refused(err *fault.Error) {
+	nd.event(trace.Event{Kind: trace.AnnouncementIgnored, Subject: nd.settings.Instance, Detail: err.Message})
+}
+
 func (w AnnouncementWire) validate() error {
 	if w.Service == "" {
 		return fault.New(fault.InvalidInput, "announcement: the service is missing")
--- a/node/meters.go
+++ b/node/meters.go
@@ -45,6 +45,10 @@
 			mt.count(trace.PlatformReads)
 			return st.Get(ctx, name)
 		},
+		Peek: func(ctx context.Context, name plat.Name) (plat.Object, error) {
+			mt.count(trace.PlatformPeeks)
+			return st.Peek(ctx, name)
+		},
 		List: func(ctx context.Context, kind plat.Kind) ([]plat.Object, error) {
 			mt.count(trace.PlatformReads)
 			return st.List(ctx, kind)
--- a/node/node.go
+++ b/node/node.go
@@ -38,6 +38,10 @@
 	logger   log.Logger
 	now      func() time.Time
 	options  []core.Option
+	source   Source
+	// proxying holds options of the owner, which the entry shares.
+	proxying []proxy.OwnerOption
+	extras   []extra
 
 	clock  *trace.Clock
 	ring   *trace.Ring
@@ -81,6 +85,29 @@
 	return func(nd *Node) { nd.options = append(nd.options, opts...) }
 }
 
+// WithSource sets where the accepted configurations come from.
+func WithSource(source Source) Option {
+	return func(nd *Node) { nd.source = source }
+}
+
+// WithProxy sets options of the data path.
+func WithProxy(opts ...proxy.OwnerOption) Option {
+	return func(nd *Node) { nd.proxying = append(nd.proxying, opts...) }
+}
+
+// WithHandler serves one more address in plain text.
+func WithHandler(address types.Address, handler func(*Node) http.Handler) Option {
+	return func(nd *Node) { nd.extras = append(nd.extras, extra{address: address, handler: handler}) }
+}
+
+// extra is an address that is served besides those of callers, peers and
+// operators.
+type extra struct {
+	address  types.Address
+	handler  func(*Node) http.Handler
+	listener net.Listener
+}
+
 // New returns a node that listens but does not serve yet.
 func New(settings Settings, store *plat.Store, opts ...Option) (*Node, error) {
 	if err := settings.Validate(); err != nil {
@@ -94,6 +121,7 @@
 		clock:    trace.NewClock(),
 		ring:     trace.NewRing(timelineSize),
 		meters:   newMeters(),
+		source:   Roots(),
 		drained:  make(chan struct{}),
 		pulls:    make(chan struct{}, maxPulls),
 
@@ -123,6 +151,11 @@
 	if nd.adminListener, err = net.Listen("tcp", string(nd.settings.AdminListen)); err != nil {
 		return errors.WithMessage(err, "listen for operators")
 	}
+	for at := range nd.extras {
+		if nd.extras[at].listener, err = net.Listen("tcp", string(nd.extras[at].address)); err != nil {
+			return errors.WithMessage(err, "listen at "+string(nd.extras[at].address))
+		}
+	}
 	return nil
 }
 
@@ -146,8 +179,8 @@
 	nd.loop = &loop{state: core.New(self, options...), now: nd.now, run: nd.run}
 	nd.collector = &http.Client{Transport: &http.Transport{DialContext: nd.peerDialer()}}
 	nd.peers = peer.NewClient(nd.clock, nd.now, peer.WithMeter(nd.meters.control), peer.WithInstance(nd.settings.Instance), peer.WithDialer(nd.peerDialer()))
-	nd.owner = proxy.NewOwner(nd.loop.post, nd.load, nd.now,
-		proxy.WithMaxBody(nd.settings.MaxBody), proxy.WithMeters(nd.meters.residence()))
+	proxying := []proxy.OwnerOption{proxy.WithMaxBody(nd.settings.MaxBody), proxy.WithMeters(nd.meters.residence())}
+	nd.owner = proxy.NewOwner(nd.loop.post, nd.load, nd.now, append(proxying, nd.proxying...)...)
 	forward := proxy.NewForwarder(nd.now, nd.settings.MaxBody, proxy.WithDialer(nd.peerDialer()))
 	nd.entry = proxy.NewEntry(nd.settings.Instance, nd.loop.post, nd.owner, forward, nd.now)
 }
@@ -170,6 +203,13 @@
 	return types.Address(nd.adminListener.Addr().String())
 }
 
+// Ready reports whether the node may serve callers.
+func (nd *Node) Ready() bool {
+	ready := false
+	nd.loop.read(func(state *core.State) { ready = state.Ready() })
+	return ready
+}
+
 func (nd *Node) load() route.Load {
 	var load route.Load
 	nd.loop.read(func(state *core.State) { load = state.Load() })
@@ -186,6 +226,9 @@
 	nd.addServer(&group, nd.secure(nd.callerListener, Callers), nd.closing(nd.entry))
 	nd.addServer(&group, nd.secure(nd.peerListener, Peers), nd.closing(nd.peerHandler()))
 	nd.addServer(&group, nd.secure(nd.adminListener, Operators), nd.adminHandler())
+	for _, extra := range nd.extras {
+		nd.addServer(&group, extra.listener, extra.handler(nd))
+	}
 	addTask(life, &group, nd.tick)
 	addTask(life, &group, nd.join)
 	addTask(life, &group, nd.reload)
--- a/node/platform.go
+++ b/node/platform.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"sequoiamill.example/sequoiamill/admin"
 	"sequoiamill.example/sequoiamill/codec"
 	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/core"
@@ -24,11 +23,11 @@
 	fetchTimeout = time.Minute
 	// bodyReads bounds the reads of bodies, in calls a second.
 	bodyReads = 100
-	// fetchDelay is how long a node that does not watch the platform waits
-	// for a peer to pass on a version before it reads the bodies itself.
-	fetchDelay   = 15 * time.Second
-	leaveTimeout = time.Second
-	leavePause   = 300 * time.Millisecond
+	// DefaultFetchDelay is how long a node that does not watch the platform
+	// waits for a peer to pass on a version before it reads the bodies itself.
+	DefaultFetchDelay = 15 * time.Second
+	leaveTimeout      = time.Second
+	leavePause        = 300 * time.Millisecond
 )
 
 // watcher runs at most one watch of the platform's root.
@@ -63,7 +62,7 @@
 	pause := newBackoff()
 	for ctx.Err() == nil {
 		watch, cancel := context.WithCancel(ctx)
-		err := nd.store.Watch(watch, plat.RootName, func(object plat.Object) {
+		err := nd.store.Watch(watch, nd.source.Name, func(object plat.Object) {
 			if nd.rootSeen(ctx, object) {
 				pause.reset()
 				return
@@ -87,9 +86,9 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	offer := conf.Offered{Digest: codec.HashOf(object.Body), Platform: true}
-	root, err := codec.ReadRoot(object.Body)
-	offer.Version = root.Version
-	if err == nil && root.Version > nd.version() {
+	version, err := nd.source.Version(object.Body)
+	offer.Version = version
+	if err == nil && version > nd.version() {
 		offer.Snapshot, err = nd.fetch(ctx, object)
 	}
 	offer.Err = fault.From(err)
@@ -105,16 +104,16 @@
 		}
 		return nd.store.Get(ctx, name)
 	}
-	bundle, err := admin.FetchBundle(ctx, &limited, object.Body, nd.bundle())
+	bundle, err := nd.source.Fetch(ctx, &limited, object.Body, nd.bundle())
 	if err != nil {
 		return conf.Snapshot{}, err
 	}
-	return codec.Open(bundle)
+	return nd.source.Open(bundle)
 }
 
 // offer passes a peer's configuration to the reducer.
 func (nd *Node) offer(bundle conf.Bundle, version types.Version) {
-	snap, err := codec.Open(bundle)
+	snap, err := nd.source.Open(bundle)
 	nd.loop.post(conf.Offered{Snapshot: snap, Version: version, Err: fault.From(err)})
 }
 
@@ -128,14 +127,16 @@
 	if err != nil {
 		return
 	}
-	root, _ := codec.ReadRoot(object.Body)
-	nd.loop.post(core.RootRead{Epoch: epoch, Version: root.Version})
-	if nd.version() >= root.Version && root.Version != 0 || object.Revision == "" {
+	version, _ := nd.source.Version(object.Body)
+	nd.loop.post(core.RootRead{Epoch: epoch, Version: version})
+	if nd.version() >= version && version != 0 || object.Revision == "" {
 		return
 	}
-	sleep(ctx, jitter(fetchDelay))
-	if nd.version() < root.Version || root.Version == 0 {
-		nd.readRoot(ctx)
+	if nd.settings.FetchDelay > 0 {
+		sleep(ctx, jitter(nd.settings.FetchDelay))
+	}
+	if nd.version() < version || version == 0 {
+		nd.rootSeen(ctx, object)
 	}
 }
 
@@ -143,7 +144,7 @@
 func (nd *Node) untilRoot(ctx context.Context) (plat.Object, error) {
 	pause := newBackoff()
 	for {
-		object, err := nd.store.Get(ctx, plat.RootName)
+		object, err := nd.store.Get(ctx, nd.source.Name)
 		if err == nil || fault.Is(err, fault.NotFound) {
 			return object, nil
 		}
@@ -156,7 +157,7 @@
 
 // readRoot reads the platform's root once.
 func (nd *Node) readRoot(ctx context.Context) {
-	object, err := nd.store.Get(ctx, plat.RootName)
+	object, err := nd.store.Get(ctx, nd.source.Name)
 	if err == nil {
 		nd.rootSeen(ctx, object)
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -44,6 +44,14 @@
 	Keys     flow.KeyLimits
 	Seed     uint64
 	Policies core.Policies
+	// Spread is the time over which the nodes of a fleet that start together
+	// spread their first reads and writes, and FetchDelay how long each waits
+	// for peers before it reads a configuration from the platform.
+	Spread     time.Duration
+	FetchDelay time.Duration
+	// Peek is the time between cheap reads of the platform's current version,
+	// beside the watch; 0 means none.
+	Peek time.Duration
 	// PlainText names the sides that are served without TLS.
 	PlainText types.Set[Side]
 	// Certs is the material for all other sides.
--- a/plat/http.go
+++ b/plat/http.go
@@ -26,6 +26,10 @@
 	defaultRetryAfter = time.Second
 )
 
+// keepAlive notices within three seconds that the platform is out of reach, so
+// that a waiting watch does not outlive its connection.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // Option changes a setting of an HTTP client.
 type Option func(*client)
 
@@ -36,7 +40,7 @@
 
 // WithTimeout bounds each call other than a watch.
 func WithTimeout(limit time.Duration) Option {
-	return func(cl *client) { cl.timeout = limit }
+	return func(cl *client) { cl.caller.timeout = limit }
 }
 
 // WithWatchTimeout sets after what time a watch is asked to end. A watch that
@@ -45,31 +49,72 @@
 	return func(cl *client) { cl.watchTimeout = limit }
 }
 
+// Caller makes the calls of an object API over HTTP with JSON bodies.
+type Caller struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// NewCaller returns a caller of the API at a base URL.
+func NewCaller(base string) *Caller {
+	dialer := &net.Dialer{Timeout: defaultTimeout, KeepAliveConfig: keepAlive}
+	return &Caller{
+		base:    base,
+		timeout: defaultTimeout,
+		http:    &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}},
+	}
+}
+
+// Call makes one call within the caller's timeout and decodes the answer into
+// output, unless that is nil.
+func (ca *Caller) Call(ctx context.Context, method, path string, input, output any) error {
+	return ca.CallWithin(ctx, ca.timeout, method, path, input, output)
+}
+
+// CallWithin is Call with another timeout.
+func (ca *Caller) CallWithin(ctx context.Context, limit time.Duration, method, path string, input, output any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	reply, err := ca.send(ctx, method, path, input)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if reply.StatusCode >= http.StatusMultipleChoices {
+		return statusError(reply, method, path)
+	}
+	if output == nil {
+		return nil
+	}
+	err = json.NewDecoder(io.LimitReader(reply.Body, maxReply)).Decode(output)
+	if err != nil {
+		return fault.Wrap(fault.PlatformUnavailable, err, "decode the platform's reply").WithOutcome(outcomeOf(method))
+	}
+	return nil
+}
+
 type client struct {
-	base         string
+	caller       *Caller
 	namespace    string
-	timeout      time.Duration
 	watchTimeout time.Duration
-	http         *http.Client
 }
 
 // NewHTTP returns a store that speaks the object API at a base URL.
 func NewHTTP(base string, opts ...Option) *Store {
 	cl := &client{
-		base:         base,
+		caller:       NewCaller(base),
 		namespace:    defaultNamespace,
-		timeout:      defaultTimeout,
 		watchTimeout: defaultWatchTimeout,
-		http:         &http.Client{Transport: &http.Transport{}},
 	}
 	for _, opt := range opts {
 		opt(cl)
 	}
-	return &Store{Get: cl.get, List: cl.list, Put: cl.put, Delete: cl.delete, Watch: cl.watch}
+	return &Store{Get: cl.get, Peek: cl.peek, List: cl.list, Put: cl.put, Delete: cl.delete, Watch: cl.watch}
 }
 
 func (cl *client) path(kind Kind, name string) string {
-	path := cl.base + "/apis/" + apiGroup + "/" + apiVersion + "/namespaces/" + url.PathEscape(cl.namespace) + "/" + string(kind)
+	path := "/apis/" + apiGroup + "/" + apiVersion + "/namespaces/" + url.PathEscape(cl.namespace) + "/" + string(kind)
 	if name != "" {
 		path += "/" + url.PathEscape(name)
 	}
@@ -78,7 +123,16 @@
 
 func (cl *client) get(ctx context.Context, name Name) (Object, error) {
 	var wire ObjectWire
-	if err := cl.call(ctx, http.MethodGet, cl.path(name.Kind, name.Name), nil, &wire); err != nil {
+	if err := cl.caller.Call(ctx, http.MethodGet, cl.path(name.Kind, name.Name), nil, &wire); err != nil {
+		return Object{}, err
+	}
+	return wire.object(name.Kind), nil
+}
+
+// peek allows the platform to answer from a cache.
+func (cl *client) peek(ctx context.Context, name Name) (Object, error) {
+	var wire ObjectWire
+	if err := cl.caller.Call(ctx, http.MethodGet, cl.path(name.Kind, name.Name)+"?resourceVersion=0", nil, &wire); err != nil {
 		return Object{}, err
 	}
 	return wire.object(name.Kind), nil
@@ -86,7 +140,7 @@
 
 func (cl *client) list(ctx context.Context, kind Kind) ([]Object, error) {
 	var wire ListWire
-	if err := cl.call(ctx, http.MethodGet, cl.path(kind, ""), nil, &wire); err != nil {
+	if err := cl.caller.Call(ctx, http.MethodGet, cl.path(kind, ""), nil, &wire); err != nil {
 		return nil, err
 	}
 	objects := make([]Object, 0, len(wire.Items))
@@ -102,7 +156,7 @@
 		method, path = http.MethodPost, cl.path(object.Name.Kind, "")
 	}
 	var wire ObjectWire
-	if err := cl.call(ctx, method, path, cl.wire(object), &wire); err != nil {
+	if err := cl.caller.Call(ctx, method, path, cl.wire(object), &wire); err != nil {
 		return Object{}, err
 	}
 	return wire.object(object.Name.Kind), nil
@@ -112,7 +166,7 @@
 	options := struct {
 		Preconditions MetadataWire `json:"preconditions"`
 	}{MetadataWire{ResourceVersion: string(object.Revision)}}
-	return cl.call(ctx, http.MethodDelete, cl.path(object.Name.Kind, object.Name.Name), options, nil)
+	return cl.caller.Call(ctx, http.MethodDelete, cl.path(object.Name.Kind, object.Name.Name), options, nil)
 }
 
 func (cl *client) wire(object Object) ObjectWire {
@@ -124,28 +178,7 @@
 	}
 }
 
-func (cl *client) call(ctx context.Context, method, path string, input, output any) error {
-	ctx, cancel := context.WithTimeout(ctx, cl.timeout)
-	defer cancel()
-	reply, err := cl.send(ctx, method, path, input)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = reply.Body.Close() }()
-	if reply.StatusCode >= http.StatusMultipleChoices {
-		return statusError(reply, method, path)
-	}
-	if output == nil {
-		return nil
-	}
-	err = json.NewDecoder(io.LimitReader(reply.Body, maxReply)).Decode(output)
-	if err != nil {
-		return fault.Wrap(fault.PlatformUnavailable, err, "decode the platform's reply").WithOutcome(outcomeOf(method))
-	}
-	return nil
-}
-
-func (cl *client) send(ctx context.Context, method, path string, input any) (*http.Response, error) {
+func (ca *Caller) send(ctx context.Context, method, path string, input any) (*http.Response, error) {
 	var body io.Reader
 	if input != nil {
 		text, err := json.Marshal(input)
@@ -154,14 +187,14 @@
 		}
 		body = bytes.NewReader(text)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, path, body)
+	request, err := http.NewRequestWithContext(ctx, method, ca.base+path, body)
 	if err != nil {
 		return nil, errors.WithMessage(err, "make request")
 	}
 	request.Header.Set("Content-Type", "application/json")
-	reply, err := cl.http.Do(request)
+	reply, err := ca.http.Do(request)
 	if err != nil {
-		cl.http.CloseIdleConnections()
+		ca.http.CloseIdleConnections()
 		return nil, sendError(err, method)
 	}
 	return reply, nil
@@ -189,6 +222,7 @@
 	http.StatusConflict:              fault.VersionConflict,
 	http.StatusRequestEntityTooLarge: fault.TooLarge,
 	http.StatusBadRequest:            fault.InvalidInput,
+	http.StatusGone:                  fault.Expired,
 }
 
 // statusError maps an answer to an error. Every other status than the listed
--- a/plat/memory.go
+++ b/plat/memory.go
@@ -23,7 +23,7 @@
 
 // Store returns the store behind the seam.
 func (m *Memory) Store() *Store {
-	return &Store{Get: m.Get, List: m.List, Put: m.Put, Delete: m.Delete, Watch: m.Watch}
+	return &Store{Get: m.Get, Peek: m.Get, List: m.List, Put: m.Put, Delete: m.Delete, Watch: m.Watch}
 }
 
 // Get reads one object.
--- a/plat/store.go
+++ b/plat/store.go
@@ -49,12 +49,14 @@
 }
 
 // Store is the platform's object API. Errors are of the kinds NotFound,
-// VersionConflict, TooLarge, InvalidInput and PlatformUnavailable. A write
+// VersionConflict, TooLarge, InvalidInput, Expired and PlatformUnavailable. A write
 // that ends in PlatformUnavailable may have taken effect if the error's outcome
 // is Unknown.
 type Store struct {
 	// Get reads one object.
 	Get func(ctx context.Context, name Name) (Object, error)
+	// Peek reads one object at a lower price. The answer may be seconds old.
+	Peek func(ctx context.Context, name Name) (Object, error)
 	// List reads all objects of a kind.
 	List func(ctx context.Context, kind Kind) ([]Object, error)
 	// Put writes an object if its revision is the current one; an empty
--- a/plat/watch.go
+++ b/plat/watch.go
@@ -69,7 +69,7 @@
 	defer cancel()
 	silence := time.AfterFunc(cl.watchTimeout+watchMargin, cancel)
 	defer silence.Stop()
-	reply, err := cl.send(ctx, http.MethodGet, cl.path(name.Kind, "")+"?"+cl.watchQuery(name, *last).Encode(), nil)
+	reply, err := cl.caller.send(ctx, http.MethodGet, cl.path(name.Kind, "")+"?"+cl.watchQuery(name, *last).Encode(), nil)
 	switch {
 	case err != nil:
 		return ended(ctx, err)
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/flow"
@@ -15,48 +14,20 @@
 
 const digestPrefix = "sha-256=:"
 
-// readAnswer reads and checks an upstream's answer.
-func (ow *Owner) readAnswer(response *http.Response, job Job, requireEcho bool) Reply {
-	if err := checkHead(response, job, requireEcho); err != nil {
-		return lost(err)
-	}
-	body, err := readBody(response.Body, ow.maxBody)
-	if fault.Is(err, fault.TooLarge) {
-		return lost(fault.New(fault.BrokenAnswer, "the upstream's answer is above max-body, which is %d bytes", ow.maxBody))
-	}
-	if err != nil {
-		return lost(fault.Wrap(fault.BrokenAnswer, err, "read the upstream's answer"))
+// judge checks an upstream's answer.
+func (ow *Owner) judge(response *http.Response, body []byte, job Job) Reply {
+	if err := ow.dialect.Refusal(response); err != nil {
+		return Reply{Verdict: flow.NotRun, Err: err, Reached: true}
 	}
 	if err := checkDigest(response, job.Method, body); err != nil {
 		return lost(err)
 	}
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderOutcome) == fault.NotRun.String() {
-		return refusal(shedFault(response.Header))
-	}
 	length := lengthOf(response, job.Method)
 	stripOwnHeaders(response.Header)
 	answer := Answer{Status: response.StatusCode, Header: response.Header, Body: body, Length: length}
 	return Reply{Verdict: flow.Answered, Answer: answer}
 }
 
-// checkHead returns an error if an answer is not that of the job or if its
-// end could not be told from a cut.
-func checkHead(response *http.Response, job Job, requireEcho bool) *fault.Error {
-	echo := response.Header.Get(HeaderRequestID)
-	switch {
-	case echo == "" && requireEcho:
-		return fault.New(fault.BrokenAnswer, "the upstream's answer does not echo the request identifier")
-	case echo != "" && echo != string(job.Request):
-		return fault.New(fault.BrokenAnswer, "the upstream answered the request %q", echo)
-	case response.StatusCode < http.StatusOK:
-		return fault.New(fault.BrokenAnswer, "the upstream answered with the status %d", response.StatusCode)
-	case hasBody(job.Method, response.StatusCode) && response.ContentLength < 0 && len(response.TransferEncoding) == 0:
-		return fault.New(fault.BrokenAnswer, "the upstream's answer has neither a length nor a chunked end")
-	default:
-		return nil
-	}
-}
-
 func hasBody(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
@@ -104,16 +75,3 @@
 	}
 	return "", false
 }
-
-// shedFault returns the error of an upstream that states not to have run the
-// request.
-func shedFault(header http.Header) *fault.Error {
-	err := fault.New(fault.Overloaded, "the upstream shed the request")
-	if millis, parseErr := strconv.ParseInt(header.Get(headerRetryAfter), 10, 64); parseErr == nil && millis > 0 {
-		return err.WithRetryAfter(time.Duration(millis) * time.Millisecond)
-	}
-	if seconds, parseErr := strconv.Atoi(header.Get("Retry-After")); parseErr == nil && seconds > 0 {
-		return err.WithRetryAfter(time.Duration(seconds) * time.Second)
-	}
-	return err
-}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,16 +9,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
-
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/flow"
 	"sequoiamill.example/sequoiamill/route"
 	"sequoiamill.example/sequoiamill/types"
 )
 
-const headerForwardedFor = "X-Forwarded-For"
-
 // Entry takes the requests of callers.
 type Entry struct {
 	self    types.InstanceID
@@ -70,14 +63,15 @@
 	start := en.now()
 	job, limit, err := en.readCall(request)
 	if err != nil {
-		writeFault(writer, job.Request, err)
+		en.dialect().WriteFault(writer, job.Request, err)
 		return
 	}
 	id := types.CallID(en.nextID.Add(1))
 	open := &openCall{job: job, done: make(chan result, 1), attempts: map[int]*openAttempt{}}
 	en.calls.put(id, open)
 	defer en.calls.remove(id)
-	target := route.Request{Method: request.Method, Host: request.Host, Path: request.URL.Path}
+	path, _, _ := strings.Cut(job.URI, "?")
+	target := route.Request{Method: request.Method, Host: request.Host, Path: path}
 	en.post(flow.CallArrived{Call: id, Request: job.Request, Key: job.Key, Target: target, Limit: limit})
 	select {
 	case end := <-open.done:
@@ -90,23 +84,38 @@
 	}
 }
 
+func (en *Entry) dialect() *Dialect { return &en.owner.dialect }
+
 func (en *Entry) readCall(request *http.Request) (Job, types.Option[time.Duration], *fault.Error) {
-	job := Job{Request: newRequestID(), Entry: en.self, Method: request.Method, URI: request.URL.RequestURI(), Host: request.Host}
-	limit, err := limitOf(request.Header)
+	job := Job{Entry: en.self, Method: request.Method, URI: uriOf(request), Host: request.Host, Header: request.Header}
+	tunnel := refuseTunnel(request)
+	stripHopHeaders(job.Header)
+	head, err := en.dialect().ReadCall(request)
+	stripOwnHeaders(job.Header)
+	job.Request, job.Key = head.Request, head.Key
+	if err == nil {
+		err = tunnel
+	}
 	if err != nil {
-		return job, limit, err
+		return job, head.Limit, err
 	}
-	if err := refuseTunnel(request); err != nil {
-		return job, limit, err
+	if job.Header.Get("User-Agent") == "" {
+		job.Header["User-Agent"] = []string{""}
 	}
-	job.Key = keyOf(request.Header)
-	job.Header = callerHeaders(request)
 	body, readErr := readBody(request.Body, en.maxBody)
 	if readErr != nil {
-		return job, limit, bodyFault(readErr)
+		return job, head.Limit, bodyFault(readErr)
 	}
 	job.Body = body
-	return job, limit, nil
+	return job, head.Limit, nil
+}
+
+// uriOf returns the path and query as the caller sent them.
+func uriOf(request *http.Request) string {
+	if strings.HasPrefix(request.RequestURI, "/") {
+		return request.RequestURI
+	}
+	return request.URL.RequestURI()
 }
 
 // refuseTunnel returns an error for requests that ask for another protocol.
@@ -121,44 +130,6 @@
 	return nil
 }
 
-// callerHeaders returns the headers that go on to the upstream.
-func callerHeaders(request *http.Request) http.Header {
-	header := request.Header
-	stripOwnHeaders(header)
-	if host, _, err := net.SplitHostPort(request.RemoteAddr); err == nil {
-		chain := append(header.Values(headerForwardedFor), host)
-		header.Set(headerForwardedFor, strings.Join(chain, ", "))
-	}
-	if header.Get("User-Agent") == "" {
-		header["User-Agent"] = []string{""}
-	}
-	return header
-}
-
-func newRequestID() types.RequestID {
-	id, err := uuid.NewV7()
-	if err != nil {
-		id = uuid.New()
-	}
-	return types.RequestID(id.String())
-}
-
-func limitOf(header http.Header) (types.Option[time.Duration], *fault.Error) {
-	text := header.Get(HeaderTimeLeft)
-	if text == "" {
-		return types.None[time.Duration](), nil
-	}
-	micros, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || micros <= 0 || micros > math.MaxInt64/int64(time.Microsecond) {
-		return types.None[time.Duration](), fault.New(fault.InvalidInput, "header %s: %q is not a positive number", HeaderTimeLeft, text)
-	}
-	return types.Some(time.Duration(micros) * time.Microsecond), nil
-}
-
-func formatMicros(left time.Duration) string {
-	return strconv.FormatInt(left.Microseconds(), 10)
-}
-
 // Run carries out the effects of calls and reports whether the effect was one
 // of them.
 func (en *Entry) Run(effect types.Effect) bool {
@@ -225,6 +196,7 @@
 		Err:      reply.Err,
 		Load:     reply.Load,
 		PassedOn: reply.PassedOn,
+		Reached:  reply.Reached,
 		Elapsed:  ended.Sub(start),
 	})
 }
@@ -255,7 +227,7 @@
 
 func (en *Entry) write(writer http.ResponseWriter, job Job, end result) {
 	if end.err != nil {
-		writeFault(writer, job.Request, end.err)
+		en.dialect().WriteFault(writer, job.Request, end.err)
 		return
 	}
 	answer := end.answer
@@ -263,8 +235,7 @@
 	for name, values := range answer.Header {
 		header[name] = values
 	}
-	header.Set(HeaderRequestID, string(job.Request))
-	header.Set(HeaderOutcome, fault.Ran.String())
+	en.dialect().WriteAnswer(header, job.Request)
 	if hasBody(job.Method, answer.Status) {
 		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
@@ -276,32 +247,3 @@
 		_, _ = writer.Write(answer.Body)
 	}
 }
-
-type faultWire struct {
-	Kind             string `json:"kind"`
-	Message          string `json:"message"`
-	Outcome          string `json:"outcome"`
-	RequestID        string `json:"request-id"`
-	RetryAfterMillis int64  `json:"retry-after-millis,omitempty"`
-}
-
-// writeFault answers a caller with an error.
-func writeFault(writer http.ResponseWriter, request types.RequestID, err *fault.Error) {
-	header := writer.Header()
-	header.Set("Content-Type", "application/json")
-	header.Set(HeaderRequestID, string(request))
-	header.Set(HeaderErrorKind, err.Kind.String())
-	header.Set(HeaderOutcome, err.Outcome.String())
-	if err.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(err.RetryAfter.Seconds()))))
-		header.Set(headerRetryAfter, strconv.FormatInt(err.RetryAfter.Milliseconds(), 10))
-	}
-	writer.WriteHeader(fault.AnswerOf(err.Kind).HTTPStatus)
-	_ = json.NewEncoder(writer).Encode(faultWire{
-		Kind:             err.Kind.String(),
-		Message:          err.Message,
-		Outcome:          err.Outcome.String(),
-		RequestID:        string(request),
-		RetryAfterMillis: err.RetryAfter.Milliseconds(),
-	})
-}
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -16,12 +16,15 @@
 )
 
 const (
-	dialTimeout          = 500 * time.Millisecond
-	forwardIdlePerPeer   = 64
-	forwardIdleTimeout   = 30 * time.Second
-	forwardKeepAliveTime = 5 * time.Second
+	dialTimeout        = 500 * time.Millisecond
+	forwardIdlePerPeer = 64
+	forwardIdleTimeout = 30 * time.Second
 )
 
+// keepAlive notices within three seconds that the other end of a connection is
+// out of reach.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // Forwarder sends jobs to the nodes that own other upstreams.
 type Forwarder struct {
 	transport *http.Transport
@@ -39,7 +42,7 @@
 
 // NewForwarder returns a forwarder for answers of at most maxBody bytes.
 func NewForwarder(now func() time.Time, maxBody int64, opts ...ForwarderOption) *Forwarder {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: forwardKeepAliveTime}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: forwardIdlePerPeer,
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -23,14 +22,12 @@
 	now     func() time.Time
 	maxBody int64
 	meters  Meters
-	target  atomic.Pointer[target]
-	nextID  atomic.Uint64
-	jobs    *openSet[types.WorkID, *openJob]
-}
-
-type target struct {
-	address   types.Address
-	transport *http.Transport
+	dialect Dialect
+	// openEnded takes answers that end with their connection.
+	openEnded bool
+	target    atomic.Pointer[upstream]
+	nextID    atomic.Uint64
+	jobs      *openSet[types.WorkID, *openJob]
 }
 
 // openJob is a job that waits for its answer or keeps it for others.
@@ -63,7 +60,7 @@
 func NewOwner(post func(types.Event), load func() route.Load, now func() time.Time, opts ...OwnerOption) *Owner {
 	ow := &Owner{
 		post: post, load: load, now: now,
-		maxBody: defaultMaxBody, meters: noMeters(), jobs: newOpenSet[types.WorkID, *openJob](),
+		maxBody: defaultMaxBody, meters: noMeters(), dialect: OwnDialect(), jobs: newOpenSet[types.WorkID, *openJob](),
 	}
 	for _, opt := range opts {
 		opt(ow)
@@ -71,18 +68,27 @@
 	return ow
 }
 
-// SetUpstream sets the address of the local upstream and its connections.
-func (ow *Owner) SetUpstream(address types.Address, connections int) {
+// WithDialect sets how callers and upstreams spell what a call carries.
+func WithDialect(dialect Dialect) OwnerOption {
+	return func(ow *Owner) { ow.dialect = dialect }
+}
+
+// WithOpenEnded takes answers that have no length and end with their
+// connection. The end of such an answer can't be told from a graceful cut.
+func WithOpenEnded() OwnerOption {
+	return func(ow *Owner) { ow.openEnded = true }
+}
+
+// SetUpstream sets the process that work is sent to.
+func (ow *Owner) SetUpstream(process types.ProcessID, address types.Address) {
 	old := ow.target.Load()
-	if old != nil && old.address == address {
+	if old != nil && old.address == address && old.process == process {
 		return
 	}
-	transport := &http.Transport{
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		DisableCompression:  true,
+	ow.target.Store(&upstream{process: process, address: address})
+	if old != nil {
+		old.retire()
 	}
-	ow.target.Store(&target{address: address, transport: transport})
 }
 
 // Do runs a job and returns how it ended. A keyed job that was sent to the
@@ -211,52 +217,6 @@
 	open.answer(reply)
 }
 
-func (ow *Owner) send(ctx context.Context, job Job, requireEcho bool) Reply {
-	upstream := ow.target.Load()
-	if upstream == nil {
-		return refusal(fault.New(fault.NoUpstream, "the node owns no upstream"))
-	}
-	var used usedConn
-	request, err := upstreamRequest(used.trace(ctx), upstream.address, job, ow.now())
-	if err != nil {
-		return refusal(fault.Wrap(fault.InvalidInput, err, "make the upstream's request"))
-	}
-	response, err := upstream.transport.RoundTrip(request)
-	if err != nil && !used.sent() {
-		return refusal(fault.Wrap(fault.Unreachable, err, "connect to the upstream"))
-	}
-	if err != nil {
-		upstream.transport.CloseIdleConnections()
-		return lost(fault.Wrap(fault.BrokenAnswer, err, "wait for the upstream"))
-	}
-	defer func() { _ = response.Body.Close() }()
-	reply := ow.readAnswer(response, job, requireEcho)
-	if reply.Verdict == flow.Lost {
-		used.close()
-		upstream.transport.CloseIdleConnections()
-	}
-	return reply
-}
-
-func upstreamRequest(ctx context.Context, address types.Address, job Job, now time.Time) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, job.Method, "http://"+string(address)+job.URI, nil)
-	if err != nil {
-		return nil, err
-	}
-	setBodyOnce(request, bytes.NewReader(job.Body), len(job.Body))
-	request.Header = cloneHeader(job.Header)
-	if request.Header.Get("User-Agent") == "" {
-		request.Header["User-Agent"] = []string{""}
-	}
-	request.Host = job.Host
-	request.Header.Set(HeaderRequestID, string(job.Request))
-	request.Header.Set(HeaderTimeLeft, formatMicros(job.Deadline.Sub(now)))
-	if key, ok := job.Key.Get(); ok {
-		request.Header.Set(HeaderKey, string(key))
-	}
-	return request, nil
-}
-
 // ServeHTTP takes work from other nodes.
 func (ow *Owner) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	start := ow.now()
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -56,7 +56,7 @@
 	}
 	bn.server.Start()
 	t.Cleanup(bn.server.Close)
-	bn.owner.SetUpstream(types.Address(bn.server.Listener.Addr().String()), 10)
+	bn.owner.SetUpstream("up", types.Address(bn.server.Listener.Addr().String()))
 	return bn
 }
 
@@ -191,7 +191,7 @@
 	owner = proxy.NewOwner(post, func() route.Load { return route.Load{} }, time.Now)
 	server := httptest.NewServer(&fakes.Upstream{Name: "up", Work: 100 * time.Millisecond})
 	defer server.Close()
-	owner.SetUpstream(types.Address(server.Listener.Addr().String()), 1)
+	owner.SetUpstream("up", types.Address(server.Listener.Addr().String()))
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		<-started
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -55,6 +55,7 @@
 	headerPassedOn    = "Sequoiamill-Passed-On"
 	headerLength      = "Sequoiamill-Length"
 	headerAtOwner     = "Sequoiamill-At-Owner-Micros"
+	headerReached     = "Sequoiamill-Reached"
 )
 
 // ForwardPath is where a node takes work from other nodes.
@@ -113,6 +114,8 @@
 	Err     *fault.Error
 	Load    route.Load
 	Answer  Answer
+	// Reached states that the upstream itself refused the job.
+	Reached bool
 	// PassedOn states that the owner will never run the job's key.
 	PassedOn bool
 	// AtUpstream and AtOwner are the times spent there.
@@ -272,6 +275,9 @@
 		header.Set(HeaderOutcome, reply.Err.Outcome.String())
 		header.Set(headerRetryAfter, strconv.FormatInt(reply.Err.RetryAfter.Milliseconds(), 10))
 	}
+	if reply.Reached {
+		header.Set(headerReached, "true")
+	}
 	if reply.PassedOn {
 		header.Set(headerPassedOn, "true")
 	}
@@ -315,6 +321,7 @@
 	case flow.NotRun.String():
 		reply.Verdict = flow.NotRun
 		reply.PassedOn = header.Get(headerPassedOn) != ""
+		reply.Reached = header.Get(headerReached) != ""
 	default:
 		reply.Verdict = flow.Lost
 	}
--- a/trace/count.go
+++ b/trace/count.go
@@ -25,6 +25,7 @@
 	PullsServed
 	PullsRefused
 	PlatformReads
+	PlatformPeeks
 	PlatformWrites
 	PlatformWatches
 	ControlBytesIn
@@ -53,6 +54,7 @@
 	PullsServed:     "pulls_served",
 	PullsRefused:    "pulls_refused",
 	PlatformReads:   "platform_reads",
+	PlatformPeeks:   "platform_peeks",
 	PlatformWrites:  "platform_writes",
 	PlatformWatches: "platform_watches",
 	ControlBytesIn:  "control_bytes_in",
--- a/types/types.go
+++ b/types/types.go
@@ -13,6 +13,9 @@
 // InstanceID names one instance and the node on it.
 type InstanceID string
 
+// ProcessID names one process of an upstream.
+type ProcessID string
+
 // Zone names an availability zone.
 type Zone string
 
--- a/verbs/node.go
+++ b/verbs/node.go
@@ -62,6 +62,8 @@
 		StopLimit:   c.StopLimit,
 		Keys:        flow.KeyLimits{Margin: c.KeyMargin, Retention: c.KeyRetention},
 		Seed:        seed,
+		Spread:      node.DefaultSpread,
+		FetchDelay:  node.DefaultFetchDelay,
 		PlainText:   c.plainText(),
 		Certs:       keeper,
 		Policies: core.Policies{
