--- a/verbs/main.go
+++ b/verbs/main.go
@@ -18,6 +18,7 @@
 
 type commands struct {
 	Node     nodeCmd     `cmd:"" help:"Run a node beside an upstream."`
+	Hosted   hostedCmd   `cmd:"" help:"Run a node on the users' platform, as its settings file says."`
 	Check    checkCmd    `cmd:"" help:"Check a configuration file."`
 	Apply    applyCmd    `cmd:"" help:"Publish a configuration file as a new version."`
 	Get      getCmd      `cmd:"" help:"Print the configuration that the platform holds."`
