Know a departure by its process, and read the configuration on delegates

Cause: a departure carries no start time, so it counted as older than the announcements before it and the owner went on dispatching. While the store forgets its history its watches stay silent and stay open, so no node learned of a change for 4 s. A stopping node refused its callers for the whole linger, and stopped later than the platform waits. Change: a departure ends the process that it names. A stopping node goes on as an entry for the linger.

--- a/core/entry.go
+++ b/core/entry.go
@@ -16,7 +16,7 @@
 
 func (st *State) callArrived(event flow.CallArrived, now time.Time) []types.Effect {
 	effects := []types.Effect{trace.Count{Counter: trace.CallsArrived}}
-	found, err := st.entryRoute(event.Target)
+	found, err := st.entryRoute(event.Target, now)
 	if err != nil {
 		return append(effects, refuseCall(event, err)...)
 	}
@@ -44,8 +44,10 @@
 	}
 }
 
-func (st *State) entryRoute(target route.Request) (conf.Route, *fault.Error) {
-	if st.stop.asked {
+// entryRoute returns the route of a request. A stopping node goes on as an entry
+// until the callers know of it.
+func (st *State) entryRoute(target route.Request, now time.Time) (conf.Route, *fault.Error) {
+	if st.stop.asked && !now.Before(st.stop.until) {
 		return conf.Route{}, fault.New(fault.Stopping, "the node is stopping").WithRetryAfter(comeBackSoon)
 	}
 	if !st.joined() {
--- a/core/event.go
+++ b/core/event.go
@@ -44,6 +44,12 @@
 
 // supersedes reports whether an announcement is later than another one.
 func (an Announcement) supersedes(old Announcement) bool {
+	if an.Gone {
+		return an.Process == old.Process && (an.Born.IsZero() || !an.Born.Before(old.Born))
+	}
+	if an.Process == old.Process && an.Born.Equal(old.Born) && old.Gone {
+		return false
+	}
 	if !an.Born.Equal(old.Born) {
 		return an.Born.After(old.Born)
 	}
--- a/core/owner.go
+++ b/core/owner.go
@@ -1,7 +1,7 @@
 package core
 
 import (
-	"strconv"
+	"fmt"
 	"time"
 
 	"sequoiamill.example/sequoiamill/admit"
@@ -29,12 +29,12 @@
 	var effects []types.Effect
 	last := st.upstream.announcement
 	if !announcement.supersedes(last) {
-		detail := "out of order, sequence " + strconv.FormatUint(announcement.Sequence, 10)
+		detail := fmt.Sprintf("process %s sequence %d came after process %s sequence %d", announcement.Process, announcement.Sequence, last.Process, last.Sequence)
 		return []types.Effect{trace.Event{Kind: trace.AnnouncementIgnored, Subject: st.fleet.Self().ID, Detail: detail}}
 	}
 	st.upstream.unreached = false
 	if announcement.Gone {
-		st.upstream.announcement = announcement
+		st.upstream.announcement.Gone = true
 		return st.forgetUpstream("it ended")
 	}
 	if !st.upstream.known || last.Service != announcement.Service || last.Process != announcement.Process || last.Address != announcement.Address {
--- a/core/state.go
+++ b/core/state.go
@@ -43,6 +43,7 @@
 	limits   flow.KeyLimits
 	ledger   []flow.LedgerOption
 	calls    []flow.Option
+	fleet    []fleet.Option
 }
 
 // Option changes a setting of a state.
@@ -79,6 +80,11 @@
 	return func(se *settings) { se.calls = opts }
 }
 
+// WithFleet sets options of the membership.
+func WithFleet(opts ...fleet.Option) Option {
+	return func(se *settings) { se.fleet = opts }
+}
+
 // New returns the state of a node that has just started.
 func New(self fleet.Member, opts ...Option) *State {
 	se := settings{policies: DefaultPolicies(), limits: flow.DefaultKeyLimits()}
@@ -86,7 +92,7 @@
 		opt(&se)
 	}
 	st := &State{
-		fleet:    fleet.NewTable(self, rand.New(rand.NewPCG(se.seed, se.seed))),
+		fleet:    fleet.NewTable(self, rand.New(rand.NewPCG(se.seed, se.seed)), se.fleet...),
 		conf:     conf.NewHolder(),
 		balance:  route.NewBalance(se.policies.balance(), route.WithSeed(se.seed)),
 		gate:     admit.NewGate(se.gateOptions()...),
--- a/fleet/delegate.go
+++ b/fleet/delegate.go
@@ -8,8 +8,8 @@
 	"sequoiamill.example/sequoiamill/types"
 )
 
-// delegatesPerZone is the number of nodes of a zone that watch the platform.
-const delegatesPerZone = 2
+// defaultDelegates is the number of nodes of a zone that watch the platform.
+const defaultDelegates = 2
 
 const (
 	settleTime = 2 * time.Second
@@ -53,7 +53,7 @@
 			higher++
 		}
 	}
-	return higher < delegatesPerZone
+	return higher < tb.delegates
 }
 
 func rank(id types.InstanceID, zone types.Zone) uint64 {
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -54,8 +54,11 @@
 	timing   timing
 	joining  joining
 	want     want
+	patience time.Duration
 	pushes   int
 	tokens   int
+	// delegates is the number of them in a zone.
+	delegates int
 	// delegate holds whether the node is a delegate, unless stale.
 	delegate      bool
 	delegateStale bool
@@ -77,8 +80,22 @@
 	differSince time.Time
 }
 
+// Option changes a setting of a table.
+type Option func(*Table)
+
+// WithDelegates sets the number of nodes of a zone that watch the platform.
+func WithDelegates(count int) Option {
+	return func(tb *Table) { tb.delegates = count }
+}
+
+// WithPatience sets how long a node that hears of a newer version waits before
+// it asks a peer for it, as its own watch may bring it.
+func WithPatience(patience time.Duration) Option {
+	return func(tb *Table) { tb.patience = patience }
+}
+
 // NewTable returns a table that knows only the node itself.
-func NewTable(self Member, source *rand.Rand) *Table {
+func NewTable(self Member, source *rand.Rand, opts ...Option) *Table {
 	tb := &Table{
 		records:       map[types.InstanceID]*record{},
 		seedSet:       map[types.Address]struct{}{},
@@ -87,6 +104,10 @@
 		rand:          source,
 		tokens:        maxTokens,
 		delegateStale: true,
+		delegates:     defaultDelegates,
+	}
+	for _, opt := range opts {
+		opt(tb)
 	}
 	tb.joining.begin(1)
 	tb.setSelf(self.WithStatus(Alive))
--- a/fleet/want.go
+++ b/fleet/want.go
@@ -42,7 +42,7 @@
 		return nil
 	}
 	if version > tb.want.version {
-		tb.want = want{version: version, pulling: tb.want.pulling}
+		tb.want = want{version: version, pulling: tb.want.pulling, next: now.Add(tb.patience)}
 	}
 	tb.want.add(informer)
 	return tb.tryPull(now)
--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,9 @@
 	timelineSize    = 4096
 	readHeaderLimit = 10 * time.Second
 	callerIdleLimit = 2 * time.Minute
+	// closeLimit bounds the time in which a node that has stopped waits for the
+	// last answers to be written.
+	closeLimit = 300 * time.Millisecond
 )
 
 // Node is one process of the mesh.
@@ -231,6 +234,7 @@
 	}
 	addTask(life, &group, nd.tick)
 	addTask(life, &group, nd.join)
+	addTask(life, &group, nd.poll)
 	addTask(life, &group, nd.reload)
 	addTask(life, &group, func(life context.Context) error { return nd.awaitStop(ctx, life) })
 	return group.Run()
@@ -246,9 +250,11 @@
 	group.Add(
 		func() error { return server.Serve(listener) },
 		func(error) {
-			ctx, cancel := context.WithTimeout(context.Background(), nd.settings.StopLimit)
+			ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
 			defer cancel()
-			_ = server.Shutdown(ctx)
+			if server.Shutdown(ctx) != nil {
+				_ = server.Close()
+			}
 		})
 }
 
@@ -290,10 +296,11 @@
 	defer limit.Stop()
 	select {
 	case <-nd.drained:
+		return nd.leave(life)
 	case <-limit.C:
 		_ = nd.logger.Log("event", "stop-limit-reached")
+		return nil
 	}
-	return nd.leave(life)
 }
 
 func (nd *Node) view() admin.View {
--- a/node/platform.go
+++ b/node/platform.go
@@ -77,6 +77,23 @@
 	}
 }
 
+// poll reads the platform's current version from time to time on delegates.
+func (nd *Node) poll(ctx context.Context) error {
+	if nd.settings.Poll <= 0 {
+		<-ctx.Done()
+		return nil
+	}
+	for ctx.Err() == nil {
+		sleep(ctx, jitter(nd.settings.Poll))
+		delegate := false
+		nd.loop.read(func(state *core.State) { delegate = state.Fleet().IsDelegate() })
+		if delegate {
+			nd.readRoot(ctx)
+		}
+	}
+	return nil
+}
+
 // rootSeen fetches what a root names and offers it to the reducer. It reports
 // false if the platform did not give all of it, so that it is to be read again.
 func (nd *Node) rootSeen(ctx context.Context, object plat.Object) bool {
--- a/node/settings.go
+++ b/node/settings.go
@@ -49,9 +49,9 @@
 	// for peers before it reads a configuration from the platform.
 	Spread     time.Duration
 	FetchDelay time.Duration
-	// Peek is the time between cheap reads of the platform's current version,
-	// beside the watch; 0 means none.
-	Peek time.Duration
+	// Poll is the time between a delegate's reads of the platform's current
+	// version, beside its watch, which may be late; 0 means none.
+	Poll time.Duration
 	// PlainText names the sides that are served without TLS.
 	PlainText types.Set[Side]
 	// Certs is the material for all other sides.
