Place near and admit by the aim of a route

Change: admit orders and bounds its queue by the aim: work that can't meet it any more takes only slots that no other work wants. flow.Ages tells from the time that a caller leaves for how long it has been asking. route puts the own instance and zone first while they meet the aim with room to spare, the more so for large answers. Ruled out: a shorter queue for all work, which refuses calls that would have been in time.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return append(effects, trace.Count{Counter: trace.WorkShed}, Refuse{Work: work, Err: err})
 	}
-	return gt.enqueue(effects, waiting, work.Deadline.Add(-waiting.Expected), now)
+	return gt.enqueue(effects, waiting, waiting.until(now), now)
 }
 
 // End frees the slot of a work and runs the next one. The work of an aborted
--- a/admit/order.go
+++ b/admit/order.go
@@ -13,6 +13,9 @@
 	// multiples of the mean duration of work.
 	importanceBonus = 5
 
+	// latePenalty puts work that can't be of full use behind all that can.
+	latePenalty = 1e6
+
 	delayTarget   = 20 * time.Millisecond
 	delayInterval = 100 * time.Millisecond
 )
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -21,6 +21,22 @@
 	Long bool
 }
 
+// late reports whether the work can't be of full use any more. It leaves the
+// queue and the slots to work that can.
+func (w Waiting) late(now time.Time) bool {
+	return !w.Work.Aim.IsZero() && now.Add(w.Expected).After(w.Work.Aim)
+}
+
+// until returns how long the work may wait to be of the use that it still can
+// be.
+func (w Waiting) until(now time.Time) time.Time {
+	end := w.Work.Deadline
+	if !w.Work.Aim.IsZero() && !w.late(now) && w.Work.Aim.Before(end) {
+		end = w.Work.Aim
+	}
+	return end.Add(-w.Expected)
+}
+
 func (gt *Gate) expect(work Work, now time.Time) Waiting {
 	return Waiting{Work: work, Since: now, Expected: gt.Usual(work.Route), Mean: gt.mean, Long: gt.isLong(work.Route)}
 }
@@ -79,7 +95,11 @@
 		if !gt.mayRun(waiting, now) {
 			continue
 		}
-		if rank := gt.discipline.Rank(waiting, now); best < 0 || rank < lowest {
+		rank := gt.discipline.Rank(waiting, now)
+		if waiting.late(now) {
+			rank += latePenalty
+		}
+		if best < 0 || rank < lowest {
 			best, lowest = at, rank
 		}
 	}
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -45,7 +45,10 @@
 // important ones in its place if they keep it out.
 func (gt *Gate) makeRoom(waiting Waiting, now time.Time) ([]types.Effect, *fault.Error) {
 	importance := waiting.Work.Importance
-	left := waiting.Work.Deadline.Sub(now) - waiting.Expected
+	if waiting.late(now) && len(gt.queue) > 0 {
+		return nil, gt.overloaded(now, "work that can still meet its aim waits")
+	}
+	left := waiting.until(now).Sub(now)
 	if wait := gt.wait(waiting, gt.ahead(waiting, importance, now), now); wait > left {
 		return nil, gt.overloaded(now, "the estimated wait is "+wait.String())
 	}
--- a/admit/work.go
+++ b/admit/work.go
@@ -38,6 +38,8 @@
 	RequireEcho bool
 	// Deadline is the instant after which the answer is of no use.
 	Deadline time.Time
+	// Aim is the instant after which the answer is of less use, or zero.
+	Aim time.Time
 }
 
 // Keyed reports whether the work runs at most once under its key.
--- a/core/entry.go
+++ b/core/entry.go
@@ -25,6 +25,13 @@
 	}
 	limit := min(found.Deadline, event.Limit.Or(found.Deadline))
 	call := flow.Call{ID: event.Call, Request: event.Request, Key: event.Key, Route: found, Deadline: now.Add(limit)}
+	if found.Aim > 0 {
+		age := time.Duration(0)
+		if said, ok := event.Limit.Get(); ok {
+			age = st.ages.Observe(found.Name, said)
+		}
+		call.Aim = now.Add(found.Aim - age)
+	}
 	call, err = st.withKey(call, now)
 	if err != nil {
 		return append(effects, refuseCall(event, err)...)
@@ -70,7 +77,9 @@
 	for _, owner := range st.fleet.Serving(call.Route.Service) {
 		opening := st.opening(owner, now)
 		if !tried.Has(owner.ID) && opening.takes(usual, now) {
-			candidates = append(candidates, st.candidateOf(owner, opening))
+			candidate := st.candidateOf(owner, opening)
+			candidate.Aim = call.Route.Aim
+			candidates = append(candidates, candidate)
 		}
 	}
 	st.candidates = candidates
--- a/core/state.go
+++ b/core/state.go
@@ -27,6 +27,7 @@
 	// candidates is reused by each choice of an upstream.
 	candidates []route.Candidate
 	splits     *route.Splits
+	ages       *flow.Ages
 	policies   Policies
 	lastTick   time.Time
 	// current is the version of the platform's root when it was last read.
@@ -98,6 +99,7 @@
 		gate:     admit.NewGate(se.gateOptions()...),
 		keys:     newKeys(se.limits, se.ledger),
 		splits:   route.NewSplits(se.seed),
+		ages:     flow.NewAges(),
 		policies: se.policies,
 		stop:     stop{linger: se.linger},
 	}
@@ -202,6 +204,7 @@
 			st.routes = route.NewTable(ef.Snapshot)
 			st.calls.Keep(ef.Snapshot)
 			st.splits.Keep(ef.Snapshot)
+			st.ages.Keep(ef.Snapshot)
 			st.fleet.Hold(ef.Snapshot.Version(), ef.Snapshot.Digest())
 			events = append(events, trace.Event{Kind: trace.ConfigAdopted, Version: ef.Snapshot.Version()})
 			events = append(events, st.refreshUpstream(now)...)
--- a/flow/event.go
+++ b/flow/event.go
@@ -80,6 +80,8 @@
 	PassedOn bool
 	Load     route.Load
 	Elapsed  time.Duration
+	// Size is that of the answer in bytes.
+	Size int
 }
 
 // Event marks the type as an event.
@@ -94,6 +96,7 @@
 	Route    conf.Route
 	Key      types.Option[types.Key]
 	Deadline time.Time
+	Aim      time.Time
 	// Last states that no other owner will be asked for the key.
 	Last bool
 	// Passed holds the owners that passed the key on.
--- a/flow/finish.go
+++ b/flow/finish.go
@@ -78,6 +78,7 @@
 		ID:      target.ID,
 		Route:   target.Route,
 		Elapsed: event.Elapsed,
+		Size:    event.Size,
 		Load:    event.Load,
 		Refused: event.Verdict == NotRun && !unreached,
 		Failed:  event.Verdict == Lost || unreached,
--- a/flow/table.go
+++ b/flow/table.go
@@ -29,6 +29,8 @@
 	Minted   time.Time
 	Route    conf.Route
 	Deadline time.Time
+	// Aim is when the answer ceases to be of full use, or zero.
+	Aim time.Time
 }
 
 // Keyed reports whether the call runs at most once under its key.
@@ -330,6 +332,7 @@
 			Route:    pr.call.Route,
 			Key:      pr.call.Key,
 			Deadline: pr.call.Deadline,
+			Aim:      pr.call.Aim,
 			Last:     choice.Last,
 			Passed:   passed,
 		},
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -158,6 +158,7 @@
 	job := open.job
 	job.Route = effect.Route
 	job.Deadline = effect.Deadline
+	job.Aim = effect.Aim
 	job.Key = effect.Key
 	job.Last = effect.Last
 	job.Passed = effect.Passed
@@ -198,6 +199,7 @@
 		PassedOn: reply.PassedOn,
 		Reached:  reply.Reached,
 		Elapsed:  ended.Sub(start),
+		Size:     len(reply.Answer.Body),
 	})
 }
 
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -129,6 +129,7 @@
 		Last:       job.Last,
 		Passed:     job.Passed,
 		Deadline:   job.Deadline,
+		Aim:        job.Aim,
 	}
 	if job.keyed() {
 		work.Fingerprint = job.fingerprint()
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -56,6 +56,7 @@
 	headerLength      = "Sequoiamill-Length"
 	headerAtOwner     = "Sequoiamill-At-Owner-Micros"
 	headerReached     = "Sequoiamill-Reached"
+	headerAimLeft     = "Sequoiamill-Aim-Left-Micros"
 )
 
 // ForwardPath is where a node takes work from other nodes.
@@ -84,11 +85,13 @@
 	Route    conf.Route
 	Key      types.Option[types.Key]
 	Deadline time.Time
-	Method   string
-	URI      string
-	Host     string
-	Header   http.Header
-	Body     []byte
+	// Aim is when the answer ceases to be of full use, or zero.
+	Aim    time.Time
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
 	// Last states that no other owner will be asked for the key.
 	Last bool
 	// Passed holds the owners that passed the key on.
@@ -186,6 +189,9 @@
 func writeJobHeaders(header http.Header, job Job, now time.Time) {
 	header.Set(HeaderRequestID, string(job.Request))
 	header.Set(HeaderTimeLeft, formatMicros(job.Deadline.Sub(now)))
+	if !job.Aim.IsZero() {
+		header.Set(headerAimLeft, formatMicros(job.Aim.Sub(now)))
+	}
 	header.Set(headerEntry, string(job.Entry))
 	header.Set(headerService, string(job.Route.Service))
 	header.Set(headerRoute, string(job.Route.Name))
@@ -236,6 +242,9 @@
 		Host:     header.Get(headerHost),
 		Header:   header,
 	}
+	if aim, err := strconv.ParseInt(header.Get(headerAimLeft), 10, 64); err == nil {
+		job.Aim = now.Add(time.Duration(aim) * time.Microsecond)
+	}
 	stripOwnHeaders(header)
 	if job.Request == "" || job.Method == "" || job.URI == "" || job.Route.Service == "" {
 		return Job{}, fault.New(fault.InvalidInput, "a header of the forwarded call is missing")
--- a/route/balance.go
+++ b/route/balance.go
@@ -19,6 +19,9 @@
 	// SameZone states that the upstream is in this node's availability zone.
 	SameZone bool
 	Slots    int
+	// Aim is the time within which the answer is of full use; 0 means that
+	// sooner is always better.
+	Aim time.Duration
 	// Ready is when the upstream announced itself.
 	Ready  time.Time
 	WarmUp time.Duration
@@ -35,7 +38,9 @@
 	ID      types.InstanceID
 	Route   types.RouteName
 	Elapsed time.Duration
-	Load    Load
+	// Size is that of the answer in bytes.
+	Size int
+	Load Load
 	// Refused states that the work did not run.
 	Refused bool
 	// Failed states that no whole answer came.
@@ -56,6 +61,7 @@
 	source    *rand.Rand
 	states    map[types.InstanceID]*UpstreamState
 	durations *stat.Durations
+	sizes     *stat.Sizes
 	swept     time.Time
 	// ratings and scores are reused by each pick.
 	ratings []Rating
@@ -77,6 +83,7 @@
 		source:    rand.New(rand.NewPCG(0, 0)),
 		states:    map[types.InstanceID]*UpstreamState{},
 		durations: stat.NewDurations(),
+		sizes:     stat.NewSizes(),
 	}
 	for _, opt := range opts {
 		opt(b)
@@ -116,7 +123,7 @@
 
 // rate fills the ratings of the candidates.
 func (b *Balance) rate(route types.RouteName, candidates []Candidate, now time.Time) {
-	usual := b.Usual(route)
+	usual, size := b.Usual(route), b.sizes.Usual(route)
 	b.ratings = b.ratings[:0]
 	for _, candidate := range candidates {
 		state := b.state(candidate.ID)
@@ -124,6 +131,7 @@
 			State:     state,
 			Candidate: candidate,
 			Usual:     usual,
+			Size:      size,
 			Slowness:  state.slowness(b.Usual, now),
 			Now:       now,
 		})
@@ -141,6 +149,9 @@
 	for _, rating := range b.ratings {
 		b.scores = append(b.scores, b.policy.score(rating))
 	}
+	if b.policy.Near {
+		keepNear(b.ratings, b.scores)
+	}
 	return b.policy.Choose(b.scores, b.source)
 }
 
@@ -172,6 +183,7 @@
 		state.observeFailure(sample.Elapsed, now)
 	default:
 		b.durations.Observe(sample.Route, sample.Elapsed, now)
+		b.sizes.Observe(sample.Route, sample.Size)
 		state.observe(sample.Elapsed, b.Usual(sample.Route), now)
 	}
 }
--- a/route/eject.go
+++ b/route/eject.go
@@ -24,6 +24,8 @@
 	Candidate Candidate
 	// Usual is how long an attempt on the route usually takes.
 	Usual time.Duration
+	// Size is that of the route's usual answer in bytes.
+	Size int
 	// Slowness is the logarithm of how much slower than its siblings the
 	// upstream is.
 	Slowness float64
--- a/route/policy.go
+++ b/route/policy.go
@@ -18,7 +18,10 @@
 	maxChoices = 16
 )
 
-// Policy chooses among candidates.
+// Policy chooses among candidates. Where an attempt has an aim, the candidates
+// of the node's own instance and then of its availability zone go first as long
+// as they are expected to meet it with room to spare: being faster than the aim
+// is worth nothing to the caller, and the answer does not cross zones.
 type Policy struct {
 	// Score rates a candidate, the lowest being the best.
 	Score func(rating Rating) float64
@@ -27,6 +30,8 @@
 	// Eject leaves out candidates that are slower than their siblings, but
 	// for a few probes.
 	Eject bool
+	// Near puts candidates first that are near and meet the aim.
+	Near bool
 }
 
 func (p Policy) score(rating Rating) float64 {
@@ -39,7 +44,7 @@
 // Adaptive scores by the expected duration of an attempt and leaves out
 // upstreams that are slower than their siblings.
 func Adaptive() Policy {
-	return Policy{Score: expected, Choose: TwoChoices, Eject: true}
+	return Policy{Score: expected, Choose: TwoChoices, Eject: true, Near: true}
 }
 
 func expected(rating Rating) float64 {
