Refuse requests with two ends, log each decision, and follow the settings file

Cause: a request with both a length and chunks was taken as chunked and what followed ran as a request of its own, as the HTTP library drops the length before a handler sees it. A failed request could be traced only through the time line of a living node. Change: proxy.GuardListener follows the ends of requests where the bytes are read and hands the library a malformed head in place of such a one (400, and the connection closes). Ruled out: a handler on the request's headers (the library has dropped the length by then). Tests: TestGuard and TestGuardPieces failed before (the hidden request ran).

--- a/core/event.go
+++ b/core/event.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"sequoiamill.example/sequoiamill/flow"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -71,6 +72,12 @@
 // Event marks the type as an event.
 func (StopAsked) Event() {}
 
+// BudgetChanged is the event that the settings allow another number of repeats.
+type BudgetChanged struct{ Budget flow.Budget }
+
+// Event marks the type as an event.
+func (BudgetChanged) Event() {}
+
 // UseUpstream is the effect to send work to an upstream's process from now on.
 type UseUpstream struct {
 	Process types.ProcessID
--- a/core/state.go
+++ b/core/state.go
@@ -145,6 +145,9 @@
 		return st.announced(ev.Announcement, now)
 	case StopAsked:
 		return st.stopAsked(now)
+	case BudgetChanged:
+		st.calls.SetBudget(ev.Budget)
+		return nil
 	case conf.Offered:
 		return st.offered(ev, now)
 	case types.TimerFired:
--- a/flow/finish.go
+++ b/flow/finish.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"fmt"
 	"time"
 
 	"sequoiamill.example/sequoiamill/fault"
@@ -24,7 +25,7 @@
 	}
 	effects := []types.Effect{
 		trace.Count{Counter: trace.CallsFailed},
-		trace.Event{Kind: kind, Request: pr.call.Request, Detail: err.Error()},
+		trace.Event{Kind: kind, Request: pr.call.Request, Subject: pr.latest, Detail: pr.story(err, now)},
 		Fail{Call: pr.call.ID, Err: err},
 	}
 	return append(effects, tb.finish(pr, now)...)
@@ -66,6 +67,12 @@
 	return err
 }
 
+// story tells what decided an error.
+func (pr *progress) story(err *fault.Error, now time.Time) string {
+	return fmt.Sprintf("%s; outcome %s, come back in %s; route %s, service %s, attempts %d, left %s", err.Error(), err.Outcome,
+		err.RetryAfter.Round(time.Millisecond), pr.call.Route.Name, pr.call.Route.Service, pr.attempts, pr.call.Deadline.Sub(now).Round(time.Millisecond))
+}
+
 func unknown(cause *fault.Error) *fault.Error {
 	return fault.New(fault.OutcomeUnknown, "the work was sent and may have run: %s", cause.Message)
 }
--- a/flow/table.go
+++ b/flow/table.go
@@ -76,7 +76,9 @@
 	attempts int
 	// reached counts the attempts that came to an upstream or may have.
 	reached int
-	lost    bool
+	// latest is the owner that was asked last.
+	latest types.InstanceID
+	lost   bool
 	// passed states that an owner had passed the key on before.
 	passed   bool
 	last     *fault.Error
@@ -116,6 +118,14 @@
 	return tb
 }
 
+// SetBudget changes how many repeats are allowed from now on.
+func (tb *Table) SetBudget(budget Budget) {
+	if budget.Window != tb.budget.Window {
+		tb.allowances = map[types.ServiceName]*allowance{}
+	}
+	tb.budget = budget
+}
+
 // Len returns the number of calls in flight.
 func (tb *Table) Len() int { return len(tb.calls) }
 
@@ -179,7 +189,7 @@
 	if len(pr.open) > 0 {
 		return nil
 	}
-	return tb.retry(pr, event, now)
+	return tb.retry(pr, ended.target.ID, event, now)
 }
 
 // note keeps what the error of an attempt tells.
@@ -222,7 +232,7 @@
 }
 
 // retry starts another attempt if the deadline and the budget allow it.
-func (tb *Table) retry(pr *progress, event AttemptEnded, now time.Time) []types.Effect {
+func (tb *Table) retry(pr *progress, refuser types.InstanceID, event AttemptEnded, now time.Time) []types.Effect {
 	usual, _ := tb.delay(pr.call.Route.Name).quantile(usualShare)
 	if !now.Add(usual).Before(pr.call.Deadline) {
 		return tb.fail(pr, pr.final(), now)
@@ -231,7 +241,8 @@
 		return tb.fail(pr, pr.final(), now)
 	}
 	if pr.reached > 0 && !tb.allowance(pr.call.Route.Service).repeat(tb.share(), now) {
-		effects := []types.Effect{trace.Count{Counter: trace.RetriesDenied}}
+		denied := trace.Event{Kind: trace.RetryDenied, Request: pr.call.Request, Subject: refuser, Detail: "the budget of service " + string(pr.call.Route.Service) + " is used up"}
+		effects := []types.Effect{trace.Count{Counter: trace.RetriesDenied}, denied}
 		return append(effects, tb.fail(pr, pr.final(), now)...)
 	}
 	attempts := pr.attempts
@@ -239,7 +250,7 @@
 	if pr.attempts == attempts {
 		return effects
 	}
-	retried := trace.Event{Kind: trace.CallRetried, Request: pr.call.Request, Detail: event.Err.Error()}
+	retried := trace.Event{Kind: trace.CallRetried, Request: pr.call.Request, Subject: refuser, Detail: event.Verdict.String() + ": " + event.Err.Error()}
 	return append(effects, trace.Count{Counter: trace.AttemptsRetried}, retried)
 }
 
@@ -320,6 +331,7 @@
 	passed := pr.tried
 	pr.attempts++
 	pr.tried = pr.tried.With(target.ID)
+	pr.latest = target.ID
 	pr.open[pr.attempts] = attempt{target: target, started: now}
 	tb.seams.Began(target, now)
 	return []types.Effect{
--- a/node/effect.go
+++ b/node/effect.go
@@ -19,6 +19,8 @@
 	pullTimeout     = 5 * time.Second
 	// maxPulls bounds the pulls that are served at once.
 	maxPulls = 4
+	// maxLogFields is the number of names and values of a log line.
+	maxLogFields = 10
 )
 
 // run carries out one effect without blocking.
@@ -54,13 +56,25 @@
 	}
 }
 
-// event keeps an event and logs it if it changes the node's state.
+// event keeps an event and logs it.
 func (nd *Node) event(event trace.Event) {
 	entry := trace.Entry{Stamp: nd.clock.Now(nd.now()), Instance: nd.settings.Instance, Event: event}
 	nd.ring.Add(entry)
-	if event.Kind.ChangesState() {
-		_ = nd.logger.Log("event", event.Kind, "version", event.Version, "subject", event.Subject, "detail", event.Detail)
+	line := make([]any, 0, maxLogFields)
+	line = append(line, "event", event.Kind)
+	if event.Request != "" {
+		line = append(line, "request", event.Request)
 	}
+	if event.Version != 0 {
+		line = append(line, "version", event.Version)
+	}
+	if event.Subject != "" {
+		line = append(line, "subject", event.Subject)
+	}
+	if event.Detail != "" {
+		line = append(line, "detail", event.Detail)
+	}
+	_ = nd.logger.Log(line...)
 }
 
 func (nd *Node) setTimer(effect types.SetTimer) {
--- a/node/gauge.go
+++ b/node/gauge.go
@@ -24,6 +24,7 @@
 	for _, status := range []fleet.Status{fleet.Alive, fleet.Suspect, fleet.Dead, fleet.Left} {
 		of(`members{state="`+status.String()+`"}`, func(state *core.State) int { return count(state, status) })
 	}
+	nd.meters.set.NewGauge("sequoiamill_log_lines_dropped", func() float64 { return float64(nd.dropped()) })
 	nd.meters.set.NewGauge("sequoiamill_config_late_nodes", func() float64 {
 		return float64(len(nd.view().Late(nd.now())))
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -15,7 +16,9 @@
 	"sequoiamill.example/sequoiamill/admin"
 	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/core"
+	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/flow"
 	"sequoiamill.example/sequoiamill/peer"
 	"sequoiamill.example/sequoiamill/plat"
 	"sequoiamill.example/sequoiamill/proxy"
@@ -41,6 +44,7 @@
 	logger   log.Logger
 	now      func() time.Time
 	options  []core.Option
+	dropped  func() int64
 	source   Source
 	// proxying holds options of the owner, which the entry shares.
 	proxying []proxy.OwnerOption
@@ -83,6 +87,11 @@
 	return func(nd *Node) { nd.logger = logger }
 }
 
+// WithDropped reports the number of log lines that were not written.
+func WithDropped(dropped func() int64) Option {
+	return func(nd *Node) { nd.dropped = dropped }
+}
+
 // WithCore sets options of the reducer.
 func WithCore(opts ...core.Option) Option {
 	return func(nd *Node) { nd.options = append(nd.options, opts...) }
@@ -125,6 +134,7 @@
 		ring:     trace.NewRing(timelineSize),
 		meters:   newMeters(),
 		source:   Roots(),
+		dropped:  func() int64 { return 0 },
 		drained:  make(chan struct{}),
 		pulls:    make(chan struct{}, maxPulls),
 
@@ -213,6 +223,17 @@
 	return ready
 }
 
+// SetBudget changes how many repeats all nodes together may send to a service.
+func (nd *Node) SetBudget(budget flow.Budget) {
+	nd.loop.post(core.BudgetChanged{Budget: budget})
+	nd.event(trace.Event{Kind: trace.SettingsReloaded, Subject: nd.settings.Instance, Detail: fmt.Sprintf("budget %+v", budget)})
+}
+
+// RefuseSettings notes a change of the settings that is not taken.
+func (nd *Node) RefuseSettings(err *fault.Error) {
+	nd.event(trace.Event{Kind: trace.SettingsRefused, Subject: nd.settings.Instance, Detail: err.Message})
+}
+
 func (nd *Node) load() route.Load {
 	var load route.Load
 	nd.loop.read(func(state *core.State) { load = state.Load() })
@@ -226,7 +247,7 @@
 	nd.life = life
 	nd.event(trace.Event{Kind: trace.NodeStarted, Subject: nd.settings.Instance})
 	var group run.Group
-	nd.addServer(&group, nd.secure(nd.callerListener, Callers), nd.closing(nd.entry))
+	nd.addServer(&group, proxy.GuardListener(nd.secure(nd.callerListener, Callers)), nd.closing(nd.entry))
 	nd.addServer(&group, nd.secure(nd.peerListener, Peers), nd.closing(nd.peerHandler()))
 	nd.addServer(&group, nd.secure(nd.adminListener, Operators), nd.adminHandler())
 	for _, extra := range nd.extras {
@@ -237,7 +258,13 @@
 	addTask(life, &group, nd.poll)
 	addTask(life, &group, nd.reload)
 	addTask(life, &group, func(life context.Context) error { return nd.awaitStop(ctx, life) })
-	return group.Run()
+	err := group.Run()
+	detail := "gracefully"
+	if err != nil {
+		detail = err.Error()
+	}
+	nd.event(trace.Event{Kind: trace.NodeStopped, Subject: nd.settings.Instance, Detail: detail})
+	return err
 }
 
 func addTask(life context.Context, group *run.Group, task func(context.Context) error) {
--- a/node/platform.go
+++ b/node/platform.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	platformPause    = 500 * time.Millisecond
-	maxPlatformPause = 8 * time.Second
+	platformPause    = 250 * time.Millisecond
+	maxPlatformPause = 2 * time.Second
 	platformTimeout  = 5 * time.Second
 	// fetchTimeout bounds the reads of all bodies that a root names.
 	fetchTimeout = time.Minute
@@ -60,9 +60,14 @@
 
 func (nd *Node) watchRoot(ctx context.Context) {
 	pause := newBackoff()
+	lost := false
 	for ctx.Err() == nil {
 		watch, cancel := context.WithCancel(ctx)
 		err := nd.store.Watch(watch, nd.source.Name, func(object plat.Object) {
+			if lost {
+				lost = false
+				nd.event(trace.Event{Kind: trace.PlatformRegained, Subject: nd.settings.Instance})
+			}
 			if nd.rootSeen(ctx, object) {
 				pause.reset()
 				return
@@ -70,7 +75,8 @@
 			cancel()
 		})
 		cancel()
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !lost {
+			lost = true
 			nd.event(trace.Event{Kind: trace.PlatformFailed, Detail: fault.From(err).Error()})
 		}
 		pause.sleep(ctx)
--- /dev/null
+++ b/proxy/guard_test.go
@@ -0,0 +1,79 @@
+package proxy_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"sequoiamill.example/sequoiamill/proxy"
+)
+
+// TestGuard sends the bytes of testdata/guard on one connection and lists the
+// requests that reach the handler and the statuses of the answers.
+func TestGuard(t *testing.T) {
+	datadriven.RunTest(t, "testdata/guard", func(t *testing.T, data *datadriven.TestData) string {
+		sent := strings.NewReplacer("\n", "", "<crlf>", "\r\n", "<lf>", "\n").Replace(data.Input)
+		return guarded(t, sent, len(sent))
+	})
+}
+
+// TestGuardPieces sends a refused request in pieces of any size.
+func TestGuardPieces(t *testing.T) {
+	const sent = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc" +
+		"POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\nGET /c HTTP/1.1\r\nHost: x\r\n\r\n"
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(t)
+		is.Equal(guarded(t, sent, rapid.IntRange(1, len(sent)).Draw(rt, "piece")), "POST /a abc\n200\n400\nclosed")
+	})
+}
+
+func guarded(t *testing.T, sent string, piece int) string {
+	var mu sync.Mutex
+	var seen strings.Builder
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		mu.Lock()
+		defer mu.Unlock()
+		seen.WriteString(strings.TrimSpace(request.Method+" "+request.URL.Path+" "+strings.ReplaceAll(string(body), "\r\n", "|")) + "\n")
+	}))
+	server.Listener = proxy.GuardListener(server.Listener)
+	server.Start()
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	go func() {
+		for rest := sent; rest != ""; {
+			size := min(piece, len(rest))
+			_, _ = io.WriteString(conn, rest[:size])
+			rest = rest[size:]
+		}
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}()
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	var statuses strings.Builder
+	for reader := bufio.NewReader(conn); ; {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			statuses.WriteString("closed")
+			break
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		statuses.WriteString(response.Status[:3] + "\n")
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	return seen.String() + statuses.String()
+}
--- a/trace/event.go
+++ b/trace/event.go
@@ -43,6 +43,11 @@
 	CertsReloaded
 	CertsRefused
 	AnnouncementIgnored
+	RetryDenied
+	SettingsReloaded
+	SettingsRefused
+	NodeStopped
+	PlatformRegained
 	kindCount
 )
 
@@ -70,6 +75,11 @@
 	CertsRefused:       "certs-refused",
 
 	AnnouncementIgnored: "announcement-ignored",
+	RetryDenied:         "retry-denied",
+	SettingsReloaded:    "settings-reloaded",
+	SettingsRefused:     "settings-refused",
+	NodeStopped:         "node-stopped",
+	PlatformRegained:    "platform-regained",
 }
 
 // String returns the kebab-case name of the kind.
@@ -80,16 +90,6 @@
 	return kindNames[k]
 }
 
-// ChangesState reports whether an event of the kind is worth a log line.
-func (k Kind) ChangesState() bool {
-	switch k {
-	case CallRefused, CallRetried, CallHedged, CallUnknown, WorkRefused, WorkReplayed:
-		return false
-	default:
-		return true
-	}
-}
-
 // Event is something that happened on one node. As an effect it asks the
 // shell to keep it.
 type Event struct {
