--- a/proxy/guard.go
+++ b/proxy/guard.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"io"
 	"net"
 	"strconv"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -54,6 +57,7 @@
 		return count, nil
 	}
 	count, err := gc.Conn.Read(buffer)
+	answerPlain(err)
 	begin, ok := gc.frame.feed(buffer[:count])
 	if ok {
 		return count, err
@@ -63,6 +67,15 @@
 	return gc.Read(buffer)
 }
 
+// answerPlain answers a caller that speaks plain text to a TLS listener, as the
+// HTTP library does for connections that it knows to be of TLS.
+func answerPlain(err error) {
+	var header tls.RecordHeaderError
+	if errors.As(err, &header) && header.Conn != nil {
+		_, _ = io.WriteString(header.Conn, "HTTP/1.0 400 Bad Request\r\n\r\nClient sent an HTTP request to an HTTPS server.\n")
+	}
+}
+
 // stage is the part of a request that the next byte belongs to.
 type stage int
 
