--- a/flow/budget.go
+++ b/flow/budget.go
@@ -48,7 +48,7 @@
 	latest int64
 }
 
-func newSpan(length time.Duration) span { return span{step: length / windowSteps} }
+func newSpan(length time.Duration) span { return span{step: max(length/windowSteps, time.Millisecond)} }
 
 // advance drops what has become too old.
 func (sp *span) advance(now time.Time) {
