--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,8 +64,11 @@
 	drained   chan struct{}
 	// stopping states that every connection is to be closed by its answer.
 	stopping atomic.Bool
-	life     context.Context
-	watch    watcher
+	// closeCtx bounds the close of all listeners together.
+	closeCtx  context.Context
+	closeOnce sync.Once
+	life      context.Context
+	watch     watcher
 	// pulls holds a place for each pull being served.
 	pulls     chan struct{}
 	bodyReads *rate.Limiter
@@ -277,14 +281,22 @@
 	group.Add(
 		func() error { return server.Serve(listener) },
 		func(error) {
-			ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
-			defer cancel()
-			if server.Shutdown(ctx) != nil {
+			if server.Shutdown(nd.closeBy()) != nil {
 				_ = server.Close()
 			}
 		})
 }
 
+// closeBy returns a context that ends the close limit after its first use.
+func (nd *Node) closeBy() context.Context {
+	nd.closeOnce.Do(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
+		nd.closeCtx = ctx
+		context.AfterFunc(ctx, cancel)
+	})
+	return nd.closeCtx
+}
+
 func (nd *Node) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -23,7 +23,7 @@
 	idleMargin = time.Second
 	// onceIdle is how long a connection may have been idle to carry work that
 	// must not run twice. The upstream may have dropped an older one.
-	onceIdle       = 300 * time.Millisecond
+	onceIdle       = 200 * time.Millisecond
 	upstreamBuffer = 4 << 10
 )
 
