Admit downloads by the link and pace large answers

Cause: on the grown sites a machine's link of 12.6 Mbit/s carries fewer downloads than its upstream makes. Change: an owner sends large answers in chunks at nine tenths of the link, small ones go in between; the gate estimates the time of a large answer on the link and refuses at once what would come after its aim. Ruled out: fewer slots for downloads, which does not tell a thin link from a thick one.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -45,6 +45,7 @@
 	// the instant to which it was brought up to date.
 	owed   float64
 	owedAt time.Time
+	link   link
 }
 
 // run is a work at the upstream.
@@ -123,6 +124,12 @@
 	if !waiting.Long {
 		gt.shortSeen = now
 	}
+	if wait := gt.link.wait(work, gt.running, now); wait > 0 && gt.mode == shedding && waiting.until(now).Before(now.Add(wait)) {
+		return []types.Effect{
+			trace.Count{Counter: trace.WorkShed},
+			Refuse{Work: work, Err: gt.overloaded(now, "the answer would take "+wait.String()+" on the link")},
+		}
+	}
 	if gt.mode == ungated || gt.free() > 0 && gt.mayRun(waiting, now) {
 		return gt.dispatch(nil, waiting, now)
 	}
@@ -150,6 +157,13 @@
 	return gt.drain(now)
 }
 
+// Sent notes the size of the answer of a work that is about to end.
+func (gt *Gate) Sent(id types.WorkID, size int, now time.Time) {
+	if known, ok := gt.running[id]; ok && known.work.Remote {
+		gt.link.sent(known.work.Route, size, now)
+	}
+}
+
 // Withdraw removes a work that is no longer wanted.
 func (gt *Gate) Withdraw(id types.WorkID, now time.Time) []types.Effect {
 	if known, ok := gt.running[id]; ok {
--- a/admit/work.go
+++ b/admit/work.go
@@ -40,6 +40,8 @@
 	Deadline time.Time
 	// Aim is the instant after which the answer is of less use, or zero.
 	Aim time.Time
+	// Remote states that the answer goes over the link of the owner's instance.
+	Remote bool
 }
 
 // Keyed reports whether the work runs at most once under its key.
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -25,6 +25,7 @@
 	dialect Dialect
 	// openEnded takes answers that end with their connection.
 	openEnded bool
+	pacer     pacer
 	target    atomic.Pointer[upstream]
 	nextID    atomic.Uint64
 	jobs      *openSet[types.WorkID, *openJob]
@@ -130,6 +131,7 @@
 		Passed:     job.Passed,
 		Deadline:   job.Deadline,
 		Aim:        job.Aim,
+		Remote:     job.Remote,
 	}
 	if job.keyed() {
 		work.Fingerprint = job.fingerprint()
@@ -223,17 +225,18 @@
 	start := ow.now()
 	job, err := readJobHeaders(request.Header, ow.now())
 	if err != nil {
-		writeReply(writer, types.RequestID(request.Header.Get(HeaderRequestID)), refusal(fault.From(err)))
+		ow.writeReply(request.Context(), writer, types.RequestID(request.Header.Get(HeaderRequestID)), refusal(fault.From(err)))
 		return
 	}
+	job.Remote = true
 	job.Body, err = readBody(request.Body, ow.maxBody)
 	if err != nil {
-		writeReply(writer, job.Request, refusal(bodyFault(err)))
+		ow.writeReply(request.Context(), writer, job.Request, refusal(bodyFault(err)))
 		return
 	}
 	reply := ow.doWithHeartbeat(request.Context(), writer, job)
 	reply.AtOwner = ow.now().Sub(start)
-	writeReply(writer, job.Request, reply)
+	ow.writeReply(request.Context(), writer, job.Request, reply)
 	ow.observe(start, reply)
 }
 
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -11,6 +11,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -92,6 +93,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Remote states that the answer leaves the owner's instance.
+	Remote bool
 	// Last states that no other owner will be asked for the key.
 	Last bool
 	// Passed holds the owners that passed the key on.
@@ -267,7 +270,7 @@
 	return passed
 }
 
-func writeReply(writer http.ResponseWriter, request types.RequestID, reply Reply) {
+func (ow *Owner) writeReply(ctx context.Context, writer http.ResponseWriter, request types.RequestID, reply Reply) {
 	header := writer.Header()
 	for name, values := range reply.Answer.Header {
 		header[name] = values
@@ -297,7 +300,9 @@
 	header.Set(headerDigest, digestOf(body))
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	writer.WriteHeader(http.StatusOK)
-	_, _ = writer.Write(body)
+	if ow.pacer.write(ctx, writer, body, ow.now()) != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func readReply(response *http.Response, request types.RequestID, limit int64) (Reply, error) {
