--- a/core/event.go
+++ b/core/event.go
@@ -60,6 +60,11 @@
 	return an.Sequence > old.Sequence
 }
 
+// sameProcess reports whether two announcements are of one process of a service.
+func (an Announcement) sameProcess(other Announcement) bool {
+	return an.Process == other.Process && an.Born.Equal(other.Born) && an.Service == other.Service
+}
+
 // UpstreamAnnounced is the event that the local upstream announced itself.
 type UpstreamAnnounced struct{ Announcement Announcement }
 
--- a/core/owner.go
+++ b/core/owner.go
@@ -26,7 +26,6 @@
 }
 
 func (st *State) announced(announcement Announcement, now time.Time) []types.Effect {
-	var effects []types.Effect
 	last := st.upstream.announcement
 	if !announcement.supersedes(last) {
 		detail := fmt.Sprintf("process %s sequence %d came after process %s sequence %d", announcement.Process, announcement.Sequence, last.Process, last.Sequence)
@@ -37,20 +36,14 @@
 		st.upstream.announcement.Gone = true
 		return st.forgetUpstream("it ended")
 	}
-	if !st.upstream.known || last.Service != announcement.Service || last.Process != announcement.Process || last.Address != announcement.Address {
-		effects = append(effects, UseUpstream{Process: announcement.Process, Address: announcement.Address})
-	}
-	if !st.upstream.known || last.Service != announcement.Service || last.Process != announcement.Process {
-		st.upstream.readyAt = now
-		effects = append(effects, st.clear(fault.NoUpstream, "another upstream took its place")...)
-	}
-	if st.upstream.announcement.Leaving && !announcement.Leaving {
+	effects := st.replaceUpstream(announcement, now)
+	if last.Leaving && !announcement.Leaving {
 		st.upstream.readyAt = now
 	}
-	st.upstream.renewed = now
-	changed := !st.upstream.known || last.Leaving != announcement.Leaving || last.Process != announcement.Process || last.Service != announcement.Service
+	changed := !st.upstream.known || last.Leaving != announcement.Leaving || !announcement.sameProcess(last)
 	st.upstream.known = true
 	st.upstream.announcement = announcement
+	st.upstream.renewed = now
 	effects = append(effects, st.refreshUpstream(now)...)
 	if !changed {
 		return effects
@@ -59,8 +52,23 @@
 	if announcement.Leaving {
 		kind = trace.UpstreamLeft
 	}
-	event := trace.Event{Kind: kind, Subject: st.fleet.Self().ID, Detail: string(announcement.Service)}
-	return append(effects, event)
+	detail := fmt.Sprintf("service %s process %s slots %d", announcement.Service, announcement.Process, announcement.Slots)
+	return append(effects, trace.Event{Kind: kind, Subject: st.fleet.Self().ID, Detail: detail})
+}
+
+// replaceUpstream turns to the process of an announcement if it is another one
+// than before. What waits for the old one is refused.
+func (st *State) replaceUpstream(announcement Announcement, now time.Time) []types.Effect {
+	last := st.upstream.announcement
+	if st.upstream.known && announcement.sameProcess(last) && announcement.Address == last.Address {
+		return nil
+	}
+	effects := []types.Effect{UseUpstream{Process: announcement.Process, Address: announcement.Address}}
+	if st.upstream.known && announcement.sameProcess(last) {
+		return effects
+	}
+	st.upstream.readyAt = now
+	return append(effects, st.clear(fault.NoUpstream, "another upstream took its place")...)
 }
 
 // refreshUpstream brings the slots and the node's record up to date. Work that
--- a/core/state.go
+++ b/core/state.go
@@ -159,6 +159,14 @@
 		return st.rootRead(ev)
 	case fleet.ExchangeReceived, fleet.ExchangeAnswered, fleet.ExchangeFailed, fleet.ProbeEnded, fleet.PullEnded:
 		return st.exchanged(event, now)
+	default:
+		return st.applyCall(event, now)
+	}
+}
+
+// applyCall applies the events of calls and works.
+func (st *State) applyCall(event types.Event, now time.Time) []types.Effect {
+	switch ev := event.(type) {
 	case flow.CallArrived:
 		return st.callArrived(ev, now)
 	case flow.AttemptEnded:
--- a/flow/age.go
+++ b/flow/age.go
@@ -15,6 +15,8 @@
 	// ageShare is the part of a route's requests that must leave the same time
 	// for it to be taken for that of first attempts.
 	ageShare = 0.2
+	// ageLeast is the number of such requests that must have been seen.
+	ageLeast = 8
 	ageUnit  = time.Millisecond
 )
 
@@ -44,7 +46,7 @@
 	limit = limit.Truncate(ageUnit)
 	known.add(limit)
 	usual, count := known.most()
-	if count < ageShare*known.total {
+	if count < max(ageLeast, ageShare*known.total) {
 		return 0
 	}
 	return max(0, usual-limit)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -154,13 +154,12 @@
 		if err != nil {
 			return Reply{}, 0, err
 		}
-		if echo := ow.dialect.Echo(response.Header); echo != "" && echo != job.Request {
-			if response.Close || !conn.reused {
-				return Reply{}, 0, fault.New(fault.BrokenAnswer, "the upstream answered the request %q", echo)
-			}
+		stray, err := ow.checkEcho(response, conn, job, requireEcho)
+		if err != nil {
+			return Reply{}, 0, err
+		}
+		if stray {
 			continue
-		} else if echo == "" && requireEcho && (conn.reused || ow.dialect.Refusal(response) == nil) {
-			return Reply{}, 0, fault.New(fault.BrokenAnswer, "the upstream's answer does not echo the request identifier")
 		}
 		if framed(response, job.Method) || ow.openEnded {
 			return ow.judge(response, body, job), keepFor(response), nil
@@ -170,6 +169,24 @@
 	return Reply{}, 0, errStrays
 }
 
+// checkEcho reports whether an answer is to another request, which may come
+// before that of the job on a connection that was used before.
+func (ow *Owner) checkEcho(response *http.Response, conn *upstreamConn, job Job, requireEcho bool) (bool, error) {
+	echo := ow.dialect.Echo(response.Header)
+	switch {
+	case echo == job.Request:
+		return false, nil
+	case echo != "" && (response.Close || !conn.reused):
+		return false, fault.New(fault.BrokenAnswer, "the upstream answered the request %q", echo)
+	case echo != "":
+		return true, nil
+	case requireEcho && (conn.reused || ow.dialect.Refusal(response) == nil):
+		return false, fault.New(fault.BrokenAnswer, "the upstream's answer does not echo the request identifier")
+	default:
+		return false, nil
+	}
+}
+
 // framed reports whether the end of an answer can be told from a cut.
 func framed(response *http.Response, method string) bool {
 	return !hasBody(method, response.StatusCode) || response.ContentLength >= 0 || len(response.TransferEncoding) > 0
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -139,12 +139,9 @@
 	up.idle = nil
 }
 
-var errNotTCP = errors.New("the connection has no descriptor")
-
 // quiet reports whether the other end neither closed the connection nor sent
 // bytes on it.
 func (uc *upstreamConn) quiet() bool {
-	err := errNotTCP
 	tcp, ok := uc.Conn.(*net.TCPConn)
 	if !ok {
 		return false
@@ -154,12 +151,12 @@
 		return false
 	}
 	var first [1]byte
-	count := 0
-	readErr := raw.Read(func(fd uintptr) bool {
-		count, _, err = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	var peekErr error
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, peekErr = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return readErr == nil && count <= 0 && errors.Is(err, unix.EAGAIN)
+	return err == nil && errors.Is(peekErr, unix.EAGAIN)
 }
 
 // countedWriter counts the bytes that were handed to the connection.
