Honour the limits on callers, leave within the stop limit, notice a suspension

Change: new connections are served under the limits in force (head, time for it, idle time), bodies too; leaving ends with the stop limit; a tick compares the steady clock with the one that goes on, and a suspension counts as a pause. Ruled out: deadlines set on the connection, which the HTTP library overwrites.

--- a/core/event.go
+++ b/core/event.go
@@ -17,7 +17,11 @@
 )
 
 // Tick is the event that lets periodic decisions fall due.
-type Tick struct{}
+type Tick struct {
+	// Suspended is for how long the machine was suspended since the last tick,
+	// which the present time does not show.
+	Suspended time.Duration
+}
 
 // Event marks the type as an event.
 func (Tick) Event() {}
--- a/core/join.go
+++ b/core/join.go
@@ -34,8 +34,11 @@
 // noticePause makes the node join again if its process did not run for long.
 // It looks at every event, as work that arrived meanwhile may be handled
 // before the next tick.
-func (st *State) noticePause(now time.Time) []types.Effect {
+func (st *State) noticePause(event types.Event, now time.Time) []types.Effect {
 	gap := now.Sub(st.lastTick)
+	if tick, ok := event.(Tick); ok {
+		gap += tick.Suspended
+	}
 	if st.lastTick.IsZero() || gap <= pauseLimit {
 		return nil
 	}
--- a/core/join_test.go
+++ b/core/join_test.go
@@ -105,3 +105,20 @@
 	is.True(st.Ready())
 	is.True(!refused(st.Step(admit.Arrived{Work: work(4)}, now)))
 }
+
+// TestSuspendedMachineJoinsAgain has a machine suspended for longer than other
+// nodes wait, which the present time does not show.
+func TestSuspendedMachineJoinsAgain(t *testing.T) {
+	is := is.New(t)
+	now := joinStart
+	state := New(fleet.Member{ID: "a", Zone: "kolkata", Address: "10.0.0.1:1", Started: now}, noMargin)
+	epochOf := func() uint64 { return state.Fleet().Epoch() }
+	state.Step(Tick{}, now)
+	first := epochOf()
+	now = now.Add(100 * time.Millisecond)
+	state.Step(Tick{Suspended: time.Second}, now)
+	is.Equal(epochOf(), first)
+	now = now.Add(100 * time.Millisecond)
+	state.Step(Tick{Suspended: 10 * time.Second}, now)
+	is.Equal(epochOf(), first+1)
+}
--- a/core/state.go
+++ b/core/state.go
@@ -130,7 +130,7 @@
 
 // Step applies one event and returns its effects in order.
 func (st *State) Step(event types.Event, now time.Time) []types.Effect {
-	effects := st.noticePause(now)
+	effects := st.noticePause(event, now)
 	st.watchKeys()
 	effects = st.settleKeys(append(effects, st.apply(event, now)...))
 	st.trackKeys(event, now)
--- a/node/directory.go
+++ b/node/directory.go
@@ -143,16 +143,15 @@
 
 // leave removes the node's directory record, unless another process of the
 // instance has written it.
-func (nd *Node) leave(life context.Context) error {
-	ctx, cancel := context.WithTimeout(life, leaveTimeout)
+func (nd *Node) leave(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	object, err := nd.store.Get(ctx, nd.recordName())
+	object, err := nd.store.Get(call, nd.recordName())
 	var wire recordWire
 	if err == nil && json.Unmarshal(object.Body, &wire) == nil && wire == nd.record() {
-		_ = nd.store.Delete(ctx, object)
+		_ = nd.store.Delete(call, object)
 	}
-	sleep(life, leavePause)
-	return nil
+	sleep(ctx, leavePause)
 }
 
 // removeStale deletes the records of instances that are long gone. Each
--- a/node/effect.go
+++ b/node/effect.go
@@ -45,6 +45,8 @@
 		go nd.pull(ef)
 	case fleet.Superseded:
 		nd.supersede()
+	case conf.Adopted:
+		nd.limit(ef.Snapshot.Limits())
 	case core.UseUpstream:
 		nd.owner.SetUpstream(ef.Process, ef.Address)
 	case core.ReadRoot:
@@ -56,6 +58,14 @@
 	}
 }
 
+// limit applies what a configuration allows callers.
+func (nd *Node) limit(limits conf.Limits) {
+	nd.entry.LimitBody(limits.BodyBytes)
+	if callers := nd.callers.Load(); callers != nil {
+		callers.setLimits(limits)
+	}
+}
+
 // event keeps an event and logs it.
 func (nd *Node) event(event trace.Event) {
 	entry := trace.Entry{Stamp: nd.clock.Now(nd.now()), Instance: nd.settings.Instance, Event: event}
--- a/node/node.go
+++ b/node/node.go
@@ -64,6 +64,8 @@
 	drained   chan struct{}
 	// stopping states that every connection is to be closed by its answer.
 	stopping atomic.Bool
+	// callers serves the callers' listener.
+	callers atomic.Pointer[callers]
 	// closeCtx bounds the close of all listeners together.
 	closeCtx  context.Context
 	closeOnce sync.Once
@@ -251,7 +253,9 @@
 	nd.life = life
 	nd.event(trace.Event{Kind: trace.NodeStarted, Subject: nd.settings.Instance})
 	var group run.Group
-	nd.addServer(&group, proxy.GuardListener(nd.secure(nd.callerListener, Callers)), nd.closing(nd.entry))
+	callers := newCallers(proxy.GuardListener(nd.secure(nd.callerListener, Callers)), nd.closing(nd.entry))
+	nd.callers.Store(callers)
+	group.Add(callers.serve, func(error) { callers.close(nd.closeBy()) })
 	nd.addServer(&group, nd.secure(nd.peerListener, Peers), nd.closing(nd.peerHandler()))
 	nd.addServer(&group, nd.secure(nd.adminListener, Operators), nd.adminHandler())
 	for _, extra := range nd.extras {
@@ -300,12 +304,13 @@
 func (nd *Node) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	var sleep suspension
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			nd.loop.post(core.Tick{})
+			nd.loop.post(core.Tick{Suspended: sleep.since(nd.now(), bootTime())})
 		}
 	}
 }
@@ -331,15 +336,15 @@
 	}
 	nd.stopping.Store(true)
 	nd.loop.post(core.StopAsked{})
-	limit := time.NewTimer(nd.settings.StopLimit)
-	defer limit.Stop()
+	ctx, cancel := context.WithTimeout(life, nd.settings.StopLimit)
+	defer cancel()
 	select {
 	case <-nd.drained:
-		return nd.leave(life)
-	case <-limit.C:
+		nd.leave(ctx)
+	case <-ctx.Done():
 		_ = nd.logger.Log("event", "stop-limit-reached")
-		return nil
 	}
+	return nil
 }
 
 func (nd *Node) view() admin.View {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -22,7 +22,10 @@
 	owner   *Owner
 	forward *Forwarder
 	now     func() time.Time
+	// maxBody is the node's limit in bytes and limit that of the configuration,
+	// or 0.
 	maxBody int64
+	limit   atomic.Int64
 	nextID  atomic.Uint64
 	// mu guards the attempts of each call.
 	mu    sync.Mutex
@@ -102,7 +105,7 @@
 	if job.Header.Get("User-Agent") == "" {
 		job.Header["User-Agent"] = []string{""}
 	}
-	body, readErr := readBody(request.Body, en.maxBody)
+	body, readErr := readBody(request.Body, en.bodyLimit())
 	if readErr != nil {
 		return job, head.Limit, bodyFault(readErr)
 	}
@@ -110,6 +113,17 @@
 	return job, head.Limit, nil
 }
 
+// LimitBody sets the greatest size of a caller's body in bytes, below that of
+// the node; 0 leaves it at that.
+func (en *Entry) LimitBody(limit int64) { en.limit.Store(limit) }
+
+func (en *Entry) bodyLimit() int64 {
+	if limit := en.limit.Load(); limit > 0 {
+		return min(limit, en.maxBody)
+	}
+	return en.maxBody
+}
+
 // uriOf returns the path and query as the caller sent them.
 func uriOf(request *http.Request) string {
 	if strings.HasPrefix(request.RequestURI, "/") {
