Answer a call whose attempt was cut by its deadline as a missed deadline

Cause: the deadline of a call ends its attempt and fires its timer in the same instant. If the attempt's end came first, the caller got 502 (broken answer) instead of 504. Change: an attempt that is lost at or after the call's deadline is taken as the deadline. One that was refused still says that it did not run. TestAttemptEndsWithTheDeadline failed before.

--- /dev/null
+++ b/flow/deadline_test.go
@@ -0,0 +1,46 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/flow"
+)
+
+// TestAttemptEndsWithTheDeadline ends an attempt in the instant of its call's
+// deadline, before the deadline's own timer. An attempt that was cut is a
+// missed deadline; one that was refused did not run, and says so.
+func TestAttemptEndsWithTheDeadline(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		verdict flow.Verdict
+		err     *fault.Error
+		want    fault.Kind
+		outcome fault.Outcome
+	}{
+		{"cut", flow.Lost, fault.New(fault.BrokenAnswer, "wait for the upstream"), fault.DeadlineExceeded, fault.Unknown},
+		{"refused", flow.NotRun, fault.New(fault.Overloaded, "full"), fault.Overloaded, fault.NotRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			ld := newLoad()
+			deadline := ld.now.Add(time.Second)
+			call := flow.Call{ID: 1, Deadline: deadline, Route: conf.Route{Name: "status", Service: "job-status", Idempotent: true}}
+			is.Equal(starts(ld.table.Begin(call, ld.now)), 1)
+			effects := ld.table.Ended(flow.AttemptEnded{Call: 1, Attempt: 1, Verdict: test.verdict, Err: test.err}, deadline)
+			var failed *fault.Error
+			for _, effect := range effects {
+				if fail, ok := effect.(flow.Fail); ok {
+					failed = fail.Err
+				}
+			}
+			is.True(failed != nil)
+			is.Equal(failed.Kind, test.want)
+			is.Equal(failed.Outcome, test.outcome)
+		})
+	}
+}
--- a/flow/table.go
+++ b/flow/table.go
@@ -233,6 +233,9 @@
 
 // retry starts another attempt if the deadline and the budget allow it.
 func (tb *Table) retry(pr *progress, refuser types.InstanceID, event AttemptEnded, now time.Time) []types.Effect {
+	if event.Verdict == Lost && !now.Before(pr.call.Deadline) {
+		return tb.Expire(pr.call.ID, now)
+	}
 	usual, _ := tb.delay(pr.call.Route.Name).quantile(usualShare)
 	if !now.Add(usual).Before(pr.call.Deadline) {
 		return tb.fail(pr, pr.final(), now)
