Send large answers one after the other at the rate that admission counts on

Change: proxy.Link sends large answers one by one at 0.85 of the link, entry and owner alike; its real backlog goes with each work to the gate and with each report to entries; the gate refuses what would not arrive within 0.6 of the time left; refused downloads are told when the link is free. Ruled out: slots (64% used), processor (0.065 of 0.16 cores at most).

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -41,11 +41,9 @@
 	contended time.Time
 	// shortSeen is when work that is not long arrived last.
 	shortSeen time.Time
-	// owed is the number of refused works that are to come back, and owedAt
-	// the instant to which it was brought up to date.
-	owed   float64
-	owedAt time.Time
-	link   link
+	// returning are the refused works that are to come back for a slot.
+	returning returns
+	link      link
 }
 
 // run is a work at the upstream.
@@ -124,11 +122,8 @@
 	if !waiting.Long {
 		gt.shortSeen = now
 	}
-	if wait := gt.link.wait(work, gt.running, now); wait > 0 && gt.mode == shedding && waiting.until(now).Before(now.Add(wait)) {
-		return []types.Effect{
-			trace.Count{Counter: trace.WorkShed},
-			Refuse{Work: work, Err: gt.overloaded(now, "the answer would take "+wait.String()+" on the link")},
-		}
+	if refused := gt.refuseByLink(waiting, now); refused != nil {
+		return refused
 	}
 	if gt.mode == ungated || gt.free() > 0 && gt.mayRun(waiting, now) {
 		return gt.dispatch(nil, waiting, now)
@@ -157,10 +152,10 @@
 	return gt.drain(now)
 }
 
-// Sent notes the size of the answer of a work that is about to end.
-func (gt *Gate) Sent(id types.WorkID, size int, now time.Time) {
-	if known, ok := gt.running[id]; ok && known.work.Remote {
-		gt.link.sent(known.work.Route, size, now)
+// Sized notes the size in bytes of the answer of a work that is about to end.
+func (gt *Gate) Sized(id types.WorkID, size int) {
+	if known, ok := gt.running[id]; ok {
+		gt.link.observe(known.work.Route, size)
 	}
 }
 
--- a/admit/link_test.go
+++ b/admit/link_test.go
@@ -12,40 +12,87 @@
 	"sequoiamill.example/sequoiamill/types"
 )
 
-// TestLink plays downloads of 100 kB a hundred times a second on a link of
-// 1 MB/s, beside small answers. The link carries ten a second: the others are
-// refused at once, and no small one is.
+const (
+	chartSize = 100_000
+	chartAim  = 400 * time.Millisecond
+)
+
+// thinLink plays a gate before a link on which answers leave one after the
+// other.
+type thinLink struct {
+	gate *admit.Gate
+	// rate is in bytes a second and free when the link has sent all.
+	rate float64
+	free time.Time
+	last types.WorkID
+}
+
+func newThinLink(rate float64, now time.Time) *thinLink {
+	gate := admit.NewGate(admit.WithLink(rate))
+	gate.SetSlots(50, now)
+	return &thinLink{gate: gate, rate: rate, free: now}
+}
+
+// arrive asks for an answer and returns when it has left, or why it was
+// refused.
+func (tl *thinLink) arrive(work admit.Work, bytes int, now time.Time) (time.Time, *fault.Error) {
+	tl.last++
+	work.ID, work.LinkWait = tl.last, max(0, tl.free.Sub(now))
+	for _, effect := range tl.gate.Arrive(work, now) {
+		if refusal, ok := effect.(admit.Refuse); ok {
+			return time.Time{}, refusal.Err
+		}
+	}
+	tl.gate.Sized(work.ID, bytes)
+	tl.gate.End(work.ID, time.Millisecond, now)
+	if tl.free.Before(now) {
+		tl.free = now
+	}
+	tl.free = tl.free.Add(time.Duration(float64(bytes) / tl.rate * float64(time.Second)))
+	return tl.free, nil
+}
+
+func chart(now time.Time, aim time.Duration) admit.Work {
+	return admit.Work{Route: "chart", Importance: conf.Normal, Aim: now.Add(aim), Deadline: now.Add(2 * time.Second)}
+}
+
+// TestLink plays downloads of 100 kB a hundred times a second for 20 s on a
+// link of 1 MB/s, beside small answers. The link carries ten a second, and what
+// is taken leaves within the aim, however long the load lasts.
 func TestLink(t *testing.T) {
 	is := is.New(t)
 	now := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
-	gate := admit.NewGate(admit.WithLink(1e6))
-	gate.SetSlots(50, now)
-	const size, aim = 100_000, 400 * time.Millisecond
+	link := newThinLink(1e6, now)
 	taken, refused := 0, 0
-	var id types.WorkID
-	arrive := func(route types.RouteName, bytes int) bool {
-		id++
-		work := admit.Work{ID: id, Route: route, Importance: conf.Normal, Remote: true, Aim: now.Add(aim), Deadline: now.Add(time.Second)}
-		for _, effect := range gate.Arrive(work, now) {
-			if refusal, ok := effect.(admit.Refuse); ok {
-				is.Equal(refusal.Err.Kind, fault.Overloaded)
-				is.True(refusal.Err.RetryAfter > 0)
-				return false
-			}
-		}
-		gate.Sent(id, bytes, now)
-		gate.End(id, time.Millisecond, now)
-		return true
-	}
-	for range 1000 {
+	for range 2000 {
 		now = now.Add(10 * time.Millisecond)
-		if arrive("chart", size) {
-			taken++
-		} else {
+		left, err := link.arrive(chart(now, chartAim), chartSize, now)
+		if err != nil {
+			is.Equal(err.Kind, fault.Overloaded)
+			is.True(err.RetryAfter > 0)
 			refused++
+		} else {
+			is.True(!left.After(now.Add(chartAim)))
+			taken++
 		}
-		is.True(arrive("index", 400))
+		_, err = link.arrive(admit.Work{Route: "index", Importance: conf.High, Aim: now.Add(chartAim), Deadline: now.Add(time.Second)}, 400, now)
+		is.True(err == nil)
 	}
-	is.True(taken >= 95 && taken <= 110)
-	is.Equal(taken+refused, 1000)
+	is.True(taken >= 185 && taken <= 205)
+	is.Equal(taken+refused, 2000)
+}
+
+// TestLinkLate checks that an answer that can't meet its aim any more is sent
+// over an idle link, and refused while others wait for it.
+func TestLinkLate(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+	link := newThinLink(1e6, now)
+	_, err := link.arrive(chart(now, chartAim), chartSize, now)
+	is.True(err == nil)
+	_, err = link.arrive(chart(now, -chartAim), chartSize, now)
+	is.True(err != nil)
+	now = now.Add(time.Second)
+	_, err = link.arrive(chart(now, -chartAim), chartSize, now)
+	is.True(err == nil)
 }
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"math"
 	"time"
 
 	"sequoiamill.example/sequoiamill/conf"
@@ -11,8 +10,6 @@
 )
 
 const (
-	minimumWait = 50 * time.Millisecond
-	maximumWait = 5 * time.Second
 	// sustained is how long works must have waited without a break before
 	// less important ones may no longer fill the queue.
 	sustained = 100 * time.Millisecond
@@ -121,17 +118,13 @@
 // is to come back.
 func (gt *Gate) overloaded(now time.Time, reason string) *fault.Error {
 	err := fault.New(fault.Overloaded, "%s", reason).WithRetryAfter(gt.RetryAfter(now))
-	gt.owed++
+	gt.returning.add()
 	return err
 }
 
 // RetryAfter returns the time until the queue and the refused works that are
 // to come back have drained, spread at random.
 func (gt *Gate) RetryAfter(now time.Time) time.Duration {
-	rate := float64(max(gt.slots, 1)) / gt.mean.Seconds()
-	gt.owed = math.Max(0, gt.owed-rate*now.Sub(gt.owedAt).Seconds())
-	gt.owedAt = now
-	base := (float64(len(gt.queue)) + gt.owed) / rate
-	spread := time.Duration(base * (1 + gt.source.Float64()) * float64(time.Second))
-	return min(max(spread, minimumWait+time.Duration(gt.source.Int64N(int64(minimumWait)))), maximumWait)
+	each := gt.mean / time.Duration(max(gt.slots, 1))
+	return gt.returning.wait(time.Duration(len(gt.queue))*each, each, gt.source, now)
 }
--- a/admit/work.go
+++ b/admit/work.go
@@ -40,8 +40,9 @@
 	Deadline time.Time
 	// Aim is the instant after which the answer is of less use, or zero.
 	Aim time.Time
-	// Remote states that the answer goes over the link of the owner's instance.
-	Remote bool
+	// LinkWait is the time that a large answer would now wait for the link of
+	// the owner's instance.
+	LinkWait time.Duration
 }
 
 // Keyed reports whether the work runs at most once under its key.
--- a/core/owner.go
+++ b/core/owner.go
@@ -131,7 +131,7 @@
 		effects = append(effects, trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: event.Err.Message})
 		effects = append(effects, st.clear(fault.NoUpstream, "the upstream takes no connections")...)
 	}
-	st.gate.Sent(event.ID, event.Size, now)
+	st.gate.Sized(event.ID, event.Size)
 	return append(effects, st.gate.End(event.ID, event.Elapsed, now)...)
 }
 
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -78,7 +78,7 @@
 	en.post(flow.CallArrived{Call: id, Request: job.Request, Key: job.Key, Target: target, Limit: limit})
 	select {
 	case end := <-open.done:
-		en.write(writer, job, end)
+		en.write(request.Context(), writer, job, end)
 		if end.err == nil {
 			en.owner.meters.EntryResidence(en.now().Sub(start) - end.away)
 		}
@@ -241,7 +241,7 @@
 	open.done <- end
 }
 
-func (en *Entry) write(writer http.ResponseWriter, job Job, end result) {
+func (en *Entry) write(ctx context.Context, writer http.ResponseWriter, job Job, end result) {
 	if end.err != nil {
 		en.dialect().WriteFault(writer, job.Request, end.err)
 		return
@@ -259,7 +259,10 @@
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	writer.WriteHeader(answer.Status)
-	if hasBody(job.Method, answer.Status) {
-		_, _ = writer.Write(answer.Body)
+	if !hasBody(job.Method, answer.Status) {
+		return
+	}
+	if en.owner.link.write(ctx, writer, answer.Body, en.now()) != nil {
+		panic(http.ErrAbortHandler)
 	}
 }
--- a/proxy/link_test.go
+++ b/proxy/link_test.go
@@ -34,7 +34,7 @@
 			owner.Run(admit.Dispatch(arrived))
 		}
 	}
-	owner = proxy.NewOwner(post, func() route.Load { return route.Load{} }, time.Now, proxy.WithLink(10e6))
+	owner = proxy.NewOwner(post, func() route.Load { return route.Load{} }, time.Now, proxy.WithLink(proxy.NewLink(9e6)))
 	owner.SetUpstream("up", types.Address(upstream.Listener.Addr().String()))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -25,7 +25,7 @@
 	dialect Dialect
 	// openEnded takes answers that end with their connection.
 	openEnded bool
-	pacer     pacer
+	link      *Link
 	target    atomic.Pointer[upstream]
 	nextID    atomic.Uint64
 	jobs      *openSet[types.WorkID, *openJob]
@@ -61,7 +61,7 @@
 func NewOwner(post func(types.Event), load func() route.Load, now func() time.Time, opts ...OwnerOption) *Owner {
 	ow := &Owner{
 		post: post, load: load, now: now,
-		maxBody: defaultMaxBody, meters: noMeters(), dialect: OwnDialect(), jobs: newOpenSet[types.WorkID, *openJob](),
+		maxBody: defaultMaxBody, meters: noMeters(), dialect: OwnDialect(), link: &Link{}, jobs: newOpenSet[types.WorkID, *openJob](),
 	}
 	for _, opt := range opts {
 		opt(ow)
@@ -80,6 +80,11 @@
 	return func(ow *Owner) { ow.openEnded = true }
 }
 
+// WithLink sends the answers that leave the instance over a link.
+func WithLink(link *Link) OwnerOption {
+	return func(ow *Owner) { ow.link = link }
+}
+
 // SetUpstream sets the process that work is sent to.
 func (ow *Owner) SetUpstream(process types.ProcessID, address types.Address) {
 	old := ow.target.Load()
@@ -102,7 +107,9 @@
 	if !job.keyed() {
 		defer ow.forget(id)
 	}
-	ow.post(admit.Arrived{Work: workOf(id, job)})
+	work := workOf(id, job)
+	work.LinkWait = ow.link.Wait()
+	ow.post(admit.Arrived{Work: work})
 	select {
 	case reply := <-open.reply:
 		return ow.withLoad(reply)
@@ -114,6 +121,7 @@
 
 func (ow *Owner) withLoad(reply Reply) Reply {
 	reply.Load = ow.load()
+	reply.Load.LinkWait = ow.link.Wait()
 	return reply
 }
 
@@ -131,7 +139,6 @@
 		Passed:     job.Passed,
 		Deadline:   job.Deadline,
 		Aim:        job.Aim,
-		Remote:     job.Remote,
 	}
 	if job.keyed() {
 		work.Fingerprint = job.fingerprint()
@@ -228,7 +235,6 @@
 		ow.writeReply(request.Context(), writer, types.RequestID(request.Header.Get(HeaderRequestID)), refusal(fault.From(err)))
 		return
 	}
-	job.Remote = true
 	job.Body, err = readBody(request.Body, ow.maxBody)
 	if err != nil {
 		ow.writeReply(request.Context(), writer, job.Request, refusal(bodyFault(err)))
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -50,6 +50,7 @@
 	headerDigest      = "Sequoiamill-Digest"
 	headerOutstanding = "Sequoiamill-Outstanding"
 	headerQueued      = "Sequoiamill-Queued"
+	headerLinkWait    = "Sequoiamill-Link-Wait-Micros"
 	headerRetryAfter  = "Sequoiamill-Retry-After-Millis"
 	headerLast        = "Sequoiamill-Last"
 	headerPassed      = "Sequoiamill-Passed"
@@ -93,8 +94,6 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Remote states that the answer leaves the owner's instance.
-	Remote bool
 	// Last states that no other owner will be asked for the key.
 	Last bool
 	// Passed holds the owners that passed the key on.
@@ -279,6 +278,7 @@
 	header.Set(headerVerdict, reply.Verdict.String())
 	header.Set(headerOutstanding, strconv.Itoa(reply.Load.Outstanding))
 	header.Set(headerQueued, strconv.Itoa(reply.Load.Queued))
+	header.Set(headerLinkWait, formatMicros(reply.Load.LinkWait))
 	header.Set(headerAtOwner, formatMicros(reply.AtOwner))
 	body := reply.Answer.Body
 	if reply.Err != nil {
@@ -300,7 +300,7 @@
 	header.Set(headerDigest, digestOf(body))
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	writer.WriteHeader(http.StatusOK)
-	if ow.pacer.write(ctx, writer, body, ow.now()) != nil {
+	if ow.link.write(ctx, writer, body, ow.now()) != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -346,7 +346,12 @@
 func loadOf(header http.Header) route.Load {
 	outstanding, _ := strconv.Atoi(header.Get(headerOutstanding))
 	queued, _ := strconv.Atoi(header.Get(headerQueued))
-	return route.Load{Outstanding: max(0, outstanding), Queued: max(0, queued)}
+	linkWait, _ := strconv.ParseInt(header.Get(headerLinkWait), 10, 64)
+	return route.Load{
+		Outstanding: max(0, outstanding),
+		Queued:      max(0, queued),
+		LinkWait:    time.Duration(max(0, linkWait)) * time.Microsecond,
+	}
 }
 
 func faultOf(header http.Header, body []byte) *fault.Error {
--- a/route/balance.go
+++ b/route/balance.go
@@ -31,6 +31,8 @@
 type Load struct {
 	Outstanding int
 	Queued      int
+	// LinkWait is the time that a large answer waits for the instance's link.
+	LinkWait time.Duration
 }
 
 // Sample is the outcome of one attempt at an upstream.
--- a/route/policy.go
+++ b/route/policy.go
@@ -57,7 +57,16 @@
 	if !rating.Candidate.SameZone {
 		penalty += zonePenalty
 	}
-	return service*(1+load+math.Max(0, load-1)) + float64(penalty)
+	return service*(1+load+math.Max(0, load-1)) + float64(penalty+rating.linkWait())
+}
+
+// linkWait returns the time that an answer waits for the link of the upstream's
+// instance. A report runs down as the link sends what waited.
+func (r Rating) linkWait() time.Duration {
+	if r.Size < largeAnswer {
+		return 0
+	}
+	return max(0, r.State.Load.LinkWait-r.Now.Sub(r.State.Reported))
 }
 
 // weighed returns the slowness that counts in the score. Being somewhat faster
