Know callers that come back by the instant at which they give up

Change: Ages remembers until when the callers of failed calls ask. Replaces the estimate from equal limits.

--- a/core/entry.go
+++ b/core/entry.go
@@ -24,13 +24,13 @@
 		found = found.WithService(st.splits.Choose(found))
 	}
 	limit := min(found.Deadline, event.Limit.Or(found.Deadline))
-	call := flow.Call{ID: event.Call, Request: event.Request, Key: event.Key, Route: found, Deadline: now.Add(limit)}
+	call := flow.Call{ID: event.Call, Request: event.Request, Key: event.Key, Route: found, Deadline: now.Add(limit), First: now}
+	if said, ok := event.Limit.Get(); ok {
+		call.Until = now.Add(said)
+		call.First = st.ages.First(found.Name, call.Until, now)
+	}
 	if found.Aim > 0 {
-		age := time.Duration(0)
-		if said, ok := event.Limit.Get(); ok {
-			age = st.ages.Observe(found.Name, said)
-		}
-		call.Aim = now.Add(found.Aim - age)
+		call.Aim = call.First.Add(found.Aim)
 	}
 	call, err = st.withKey(call, now)
 	if err != nil {
@@ -39,6 +39,13 @@
 	return append(effects, st.calls.Begin(call, now)...)
 }
 
+// callFailed remembers a caller who may come back.
+func (st *State) callFailed(call flow.Call, now time.Time) {
+	if !call.Until.IsZero() {
+		st.ages.Failed(call.Route.Name, call.Until, call.First, now)
+	}
+}
+
 func refuseCall(event flow.CallArrived, err *fault.Error) []types.Effect {
 	kind := trace.CallRefused
 	if err.Kind == fault.OutcomeUnknown {
--- a/core/state.go
+++ b/core/state.go
@@ -105,7 +105,8 @@
 	}
 	seams := flow.Seams{
 		Pick: st.pick, Next: st.nextOwner, Began: st.balance.Began, Ended: st.balance.Ended,
-		Nodes: func() int { return st.fleet.Live() + 1 },
+		Nodes:  func() int { return st.fleet.Live() + 1 },
+		Failed: st.callFailed,
 	}
 	st.calls = flow.NewTable(seams, append([]flow.Option{flow.WithHedge(se.policies.Hedge)}, se.calls...)...)
 	return st
@@ -215,7 +216,6 @@
 			st.routes = route.NewTable(ef.Snapshot)
 			st.calls.Keep(ef.Snapshot)
 			st.splits.Keep(ef.Snapshot)
-			st.ages.Keep(ef.Snapshot)
 			st.fleet.Hold(ef.Snapshot.Version(), ef.Snapshot.Digest())
 			events = append(events, trace.Event{Kind: trace.ConfigAdopted, Version: ef.Snapshot.Version()})
 			events = append(events, st.refreshUpstream(now)...)
--- a/flow/age.go
+++ b/flow/age.go
@@ -3,91 +3,80 @@
 import (
 	"time"
 
-	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/types"
 )
 
 const (
-	// ageMemory is the number of requests of a route after which older ones
-	// count half, and ageKinds bounds the limits that are told apart.
-	ageMemory = 256
-	ageKinds  = 64
-	// ageShare is the part of a route's requests that must leave the same time
-	// for it to be taken for that of first attempts.
-	ageShare = 0.2
-	// ageLeast is the number of such requests that must have been seen.
-	ageLeast = 8
-	ageUnit  = time.Millisecond
+	// ageTolerance is how far apart the ends of two attempts may lie for them to
+	// be one caller's. They differ by how long the attempts were on their way
+	// and by the unit in which the time left is said.
+	ageTolerance = 2 * time.Millisecond
+	ageUnit      = time.Millisecond
+	// maxAges bounds the callers that are remembered.
+	maxAges = 8192
 )
 
-// Ages estimates for how long a caller has been asking. Callers of a route
-// mostly leave the same time with their first attempt and less with the next.
+// Ages tells for how long a caller has been asking. A caller that comes back
+// leaves less time than before, so that its attempts all end at one instant;
+// those that failed are remembered by it.
 type Ages struct {
-	routes map[types.RouteName]*limits
+	asked map[ending]time.Time
+	// order holds the remembered ends, oldest first.
+	order []ending
 }
 
-// limits counts the limits of a route's requests.
-type limits struct {
-	counts map[time.Duration]float64
-	total  float64
+// ending is the instant at which the callers of a route give up, in units.
+type ending struct {
+	route types.RouteName
+	at    int64
 }
 
-// NewAges returns estimates that know no routes.
-func NewAges() *Ages { return &Ages{routes: map[types.RouteName]*limits{}} }
-
-// Observe notes the limit of a request and returns how long ago its caller
-// sent the first attempt, or 0 if that can't be told.
-func (ag *Ages) Observe(route types.RouteName, limit time.Duration) time.Duration {
-	known, ok := ag.routes[route]
-	if !ok {
-		known = &limits{counts: map[time.Duration]float64{}}
-		ag.routes[route] = known
-	}
-	limit = limit.Truncate(ageUnit)
-	known.add(limit)
-	usual, count := known.most()
-	if count < max(ageLeast, ageShare*known.total) {
-		return 0
-	}
-	return max(0, usual-limit)
+func endingOf(route types.RouteName, at time.Time) ending {
+	return ending{route: route, at: at.UnixNano() / int64(ageUnit)}
 }
 
-// Keep forgets the routes that are not configured.
-func (ag *Ages) Keep(snapshot conf.Snapshot) {
-	kept := make(map[types.RouteName]*limits, len(ag.routes))
-	for _, route := range snapshot.Routes() {
-		if known, ok := ag.routes[route.Name]; ok {
-			kept[route.Name] = known
-		}
+// NewAges returns a memory of no callers.
+func NewAges() *Ages { return &Ages{asked: map[ending]time.Time{}} }
+
+// Failed remembers a caller that may come back: that of a route who gives up at
+// an instant and asked first at another.
+func (ag *Ages) Failed(route types.RouteName, until, first, now time.Time) {
+	ag.forget(now)
+	key := endingOf(route, until)
+	if _, known := ag.asked[key]; !known {
+		ag.order = append(ag.order, key)
 	}
-	ag.routes = kept
+	ag.asked[key] = first
 }
 
-func (li *limits) add(limit time.Duration) {
-	li.counts[limit]++
-	li.total++
-	if li.total < ageMemory && len(li.counts) <= ageKinds {
-		return
-	}
-	li.total = 0
-	for known, count := range li.counts {
-		if count /= 2; count < 1 {
-			delete(li.counts, known)
-			continue
+// First returns when the caller of a route who gives up at an instant asked
+// first, which is now unless it failed before.
+func (ag *Ages) First(route types.RouteName, until, now time.Time) time.Time {
+	for off := int64(0); off <= int64(ageTolerance/ageUnit); off++ {
+		for _, sign := range []int64{-1, 1} {
+			key := endingOf(route, until)
+			key.at += sign * off
+			if first, ok := ag.asked[key]; ok {
+				delete(ag.asked, key)
+				return first
+			}
 		}
-		li.counts[known] = count
-		li.total += count
 	}
+	return now
 }
 
-// most returns the limit that was seen most often, the longest of several.
-func (li *limits) most() (time.Duration, float64) {
-	var usual time.Duration
-	best := 0.0
-	for limit, count := range li.counts {
-		if count > best || count == best && limit > usual {
-			usual, best = limit, count
+// Len returns the number of callers that are remembered.
+func (ag *Ages) Len() int { return len(ag.asked) }
+
+// forget drops the callers that have given up, and the oldest of too many.
+func (ag *Ages) forget(now time.Time) {
+	for len(ag.order) > 0 {
+		oldest := ag.order[0]
+		_, known := ag.asked[oldest]
+		if known && oldest.at >= endingOf("", now).at && len(ag.order) < maxAges {
+			return
 		}
+		delete(ag.asked, oldest)
+		ag.order = ag.order[1:]
 	}
-	return usual, best
 }
--- a/flow/event.go
+++ b/flow/event.go
@@ -82,6 +82,8 @@
 	Elapsed  time.Duration
 	// Size is that of the answer in bytes.
 	Size int
+	// ServerFault states that the upstream answered with a failure of its own.
+	ServerFault bool
 }
 
 // Event marks the type as an event.
--- a/flow/finish.go
+++ b/flow/finish.go
@@ -19,6 +19,7 @@
 }
 
 func (tb *Table) fail(pr *progress, err *fault.Error, now time.Time) []types.Effect {
+	tb.unserved(pr, now)
 	kind := trace.CallRefused
 	if err.Kind == fault.OutcomeUnknown {
 		kind = trace.CallUnknown
@@ -31,6 +32,13 @@
 	return append(effects, tb.finish(pr, now)...)
 }
 
+// unserved tells of a call whose caller may come back.
+func (tb *Table) unserved(pr *progress, now time.Time) {
+	if tb.seams.Failed != nil {
+		tb.seams.Failed(pr.call, now)
+	}
+}
+
 func (tb *Table) finish(pr *progress, now time.Time) []types.Effect {
 	var effects []types.Effect
 	for number := 1; number <= pr.attempts; number++ {
--- a/flow/table.go
+++ b/flow/table.go
@@ -31,6 +31,9 @@
 	Deadline time.Time
 	// Aim is when the answer ceases to be of full use, or zero.
 	Aim time.Time
+	// First is when the caller asked first, and Until when it gives up, or zero
+	// if it does not say.
+	First, Until time.Time
 }
 
 // Keyed reports whether the call runs at most once under its key.
@@ -55,6 +58,10 @@
 	// Nodes returns the number of nodes that share the budgets.
 	Nodes func() int
 	Ended func(sample route.Sample, now time.Time)
+	// Failed tells of a call that was not served or given up, whose caller may
+	// come back.
+	// It may be nil.
+	Failed func(call Call, now time.Time)
 }
 
 // Table holds the calls in flight at one node.
@@ -180,6 +187,9 @@
 	tb.seams.Ended(sampleOf(ended.target, event), now)
 	if event.Verdict == Answered {
 		tb.delay(pr.call.Route.Name).observe(event.Elapsed)
+		if event.ServerFault {
+			tb.unserved(pr, now)
+		}
 		return tb.deliver(pr, event.Attempt, now)
 	}
 	tb.note(pr, ended.target.ID, event, now)
@@ -280,6 +290,7 @@
 	if !ok {
 		return nil
 	}
+	tb.unserved(pr, now)
 	effects := []types.Effect{trace.Count{Counter: trace.CallsCanceled}}
 	return append(effects, tb.finish(pr, now)...)
 }
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -214,6 +214,8 @@
 		Reached:  reply.Reached,
 		Elapsed:  ended.Sub(start),
 		Size:     len(reply.Answer.Body),
+
+		ServerFault: reply.Answer.Status >= http.StatusInternalServerError,
 	})
 }
 
