Let owners report which part of the work their upstream fails

Cause: an answer that says 500 counted as a whole answer, and a quick one, so that an upstream that fails all while it says that it is well looked faster than its siblings: with one of ten failing at once, 20 entries sent it 20% of their attempts, 100% if it was near, and four of ten got 65%. Change: the owner keeps a decaying share of failed work (answers of 5xx, broken and silent ones; not what did not run, nor what its caller left) and reports it with its load; entries add the failures beyond those of the middle sibling to the expected duration. Failures that all show change nothing, as the work or what it calls may be at fault. Ruled out: ejecting by each entry's own failures alone: an entry of 58 sees an upstream twice a second at most, the owner sees all of its work.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -159,6 +159,12 @@
 	}
 }
 
+// Aborted reports whether a work at the upstream is no longer wanted.
+func (gt *Gate) Aborted(id types.WorkID) bool {
+	known, ok := gt.running[id]
+	return ok && known.aborted
+}
+
 // Withdraw removes a work that is no longer wanted.
 func (gt *Gate) Withdraw(id types.WorkID, now time.Time) []types.Effect {
 	if known, ok := gt.running[id]; ok {
--- a/admit/work.go
+++ b/admit/work.go
@@ -65,6 +65,8 @@
 	Size int
 	// Whole states that the upstream's answer arrived whole.
 	Whole bool
+	// ServerFault states that the upstream answered with a failure of its own.
+	ServerFault bool
 }
 
 // Event marks the type as an event.
--- a/core/owner.go
+++ b/core/owner.go
@@ -7,6 +7,7 @@
 	"sequoiamill.example/sequoiamill/admit"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/stat"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
 )
@@ -23,6 +24,8 @@
 	// unreached states that the upstream took no connection since it announced
 	// itself last.
 	unreached bool
+	// faults is the part of the work it ran that failed.
+	faults stat.Share
 }
 
 func (st *State) announced(announcement Announcement, now time.Time) []types.Effect {
@@ -131,6 +134,9 @@
 		effects = append(effects, trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: event.Err.Message})
 		effects = append(effects, st.clear(fault.NoUpstream, "the upstream takes no connections")...)
 	}
+	if event.Ran != fault.NotRun && !st.gate.Aborted(event.ID) {
+		st.upstream.faults.Observe(event.ServerFault || !event.Whole, now)
+	}
 	st.gate.Sized(event.ID, event.Size)
 	return append(effects, st.gate.End(event.ID, event.Elapsed, now)...)
 }
--- a/core/policy_test.go
+++ b/core/policy_test.go
@@ -115,7 +115,7 @@
 	check.Equal(dispatched, 10)
 	checkRefused(check, sg.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100, Leaving: true}), 2, fault.Closed)
 	checkRefused(check, sg.work(1, time.Second), 1, fault.Closed)
-	check.Equal(sg.state.Load().Outstanding, 10) // running work goes on
+	check.Equal(sg.state.Load(sg.now).Outstanding, 10) // running work goes on
 }
 
 func TestAnnouncementExpires(t *testing.T) {
@@ -128,7 +128,7 @@
 		effects = append(effects, sg.step(core.Tick{})...)
 	}
 	checkRefused(check, effects, 2, fault.NoUpstream)
-	check.Equal(sg.state.Load().Outstanding, 10)
+	check.Equal(sg.state.Load(sg.now).Outstanding, 10)
 }
 
 func TestUpstreamChangesService(t *testing.T) {
@@ -165,7 +165,7 @@
 	checkRefused(check, sg.work(1, time.Minute), 1, fault.Closed)
 	sg.now = sg.now.Add(500 * time.Millisecond)
 	checkRefused(check, sg.step(core.Tick{}), 2, fault.Closed)
-	check.Equal(sg.state.Load().Outstanding, 10) // running work goes on
+	check.Equal(sg.state.Load(sg.now).Outstanding, 10) // running work goes on
 	call := flow.CallArrived{Call: 1, Request: "r", Target: route.Request{Method: "GET", Path: "/s0"}}
 	for _, effect := range sg.step(call) {
 		_, started := effect.(flow.StartAttempt)
--- a/core/state.go
+++ b/core/state.go
@@ -119,8 +119,8 @@
 func (st *State) Conf() *conf.Holder { return st.conf }
 
 // Load returns what the node reports of its upstream.
-func (st *State) Load() route.Load {
-	return route.Load{Outstanding: st.gate.Running(), Queued: st.gate.Queued()}
+func (st *State) Load(now time.Time) route.Load {
+	return route.Load{Outstanding: st.gate.Running(), Queued: st.gate.Queued(), Faults: st.upstream.faults.Now(now)}
 }
 
 // Ready reports whether the node may serve callers. It is not ready before
--- a/node/gauge.go
+++ b/node/gauge.go
@@ -18,8 +18,9 @@
 	of("config_version", func(state *core.State) int { return int(state.Conf().Current().Version()) })
 	of("config_floor", func(state *core.State) int { return int(state.Conf().Floor()) })
 	of("ready", func(state *core.State) int { return one(state.Ready()) })
-	of("work_running", func(state *core.State) int { return state.Load().Outstanding })
-	of("work_waiting", func(state *core.State) int { return state.Load().Queued })
+	of("work_running", func(state *core.State) int { return state.Load(nd.now()).Outstanding })
+	of("work_waiting", func(state *core.State) int { return state.Load(nd.now()).Queued })
+	nd.meters.set.NewGauge("sequoiamill_upstream_fault_share", func() float64 { return nd.load().Faults })
 	of("keys_held", func(state *core.State) int { return state.Keys() })
 	for _, status := range []fleet.Status{fleet.Alive, fleet.Suspect, fleet.Dead, fleet.Left} {
 		of(`members{state="`+status.String()+`"}`, func(state *core.State) int { return count(state, status) })
--- a/node/node.go
+++ b/node/node.go
@@ -242,7 +242,7 @@
 
 func (nd *Node) load() route.Load {
 	var load route.Load
-	nd.loop.read(func(state *core.State) { load = state.Load() })
+	nd.loop.read(func(state *core.State) { load = state.Load(nd.now()) })
 	return load
 }
 
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -209,6 +209,8 @@
 		Elapsed: reply.AtUpstream,
 		Size:    len(reply.Answer.Body),
 		Whole:   reply.Verdict == flow.Answered,
+
+		ServerFault: reply.Answer.Status >= http.StatusInternalServerError,
 	}
 	switch reply.Verdict {
 	case flow.Answered:
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -51,6 +51,7 @@
 	headerOutstanding = "Sequoiamill-Outstanding"
 	headerQueued      = "Sequoiamill-Queued"
 	headerLinkWait    = "Sequoiamill-Link-Wait-Micros"
+	headerFaults      = "Sequoiamill-Fault-Share"
 	headerRetryAfter  = "Sequoiamill-Retry-After-Millis"
 	headerLast        = "Sequoiamill-Last"
 	headerPassed      = "Sequoiamill-Passed"
@@ -279,6 +280,7 @@
 	header.Set(headerOutstanding, strconv.Itoa(reply.Load.Outstanding))
 	header.Set(headerQueued, strconv.Itoa(reply.Load.Queued))
 	header.Set(headerLinkWait, formatMicros(reply.Load.LinkWait))
+	header.Set(headerFaults, strconv.FormatFloat(reply.Load.Faults, 'f', 3, 64))
 	header.Set(headerAtOwner, formatMicros(reply.AtOwner))
 	body := reply.Answer.Body
 	if reply.Err != nil {
@@ -347,7 +349,9 @@
 	outstanding, _ := strconv.Atoi(header.Get(headerOutstanding))
 	queued, _ := strconv.Atoi(header.Get(headerQueued))
 	linkWait, _ := strconv.ParseInt(header.Get(headerLinkWait), 10, 64)
+	faults, _ := strconv.ParseFloat(header.Get(headerFaults), 64)
 	return route.Load{
+		Faults:      min(max(0, faults), 1),
 		Outstanding: max(0, outstanding),
 		Queued:      max(0, queued),
 		LinkWait:    time.Duration(max(0, linkWait)) * time.Microsecond,
--- a/route/balance.go
+++ b/route/balance.go
@@ -33,6 +33,8 @@
 	Queued      int
 	// LinkWait is the time that a large answer waits for the instance's link.
 	LinkWait time.Duration
+	// Faults is the part of the recent work that failed at the upstream.
+	Faults float64
 }
 
 // Sample is the outcome of one attempt at an upstream.
@@ -135,6 +137,7 @@
 			Usual:     usual,
 			Size:      size,
 			Slowness:  state.slowness(b.Usual, now),
+			Faults:    state.faults(now),
 			Now:       now,
 		})
 	}
--- a/route/eject.go
+++ b/route/eject.go
@@ -29,21 +29,32 @@
 	// Slowness is the logarithm of how much slower than its siblings the
 	// upstream is.
 	Slowness float64
-	Now      time.Time
+	// Faults is the part of its work that fails beyond that of its siblings.
+	Faults float64
+	Now    time.Time
 }
 
-// compare makes the slowness of each candidate relative to the middle one.
+// compare makes the slowness and the faults of each candidate relative to the
+// middle one. What all of them show is not theirs: the work may be at fault, or
+// what it calls.
 func compare(ratings []Rating) {
+	slowness := middle(ratings, func(rating Rating) float64 { return rating.Slowness })
+	faults := middle(ratings, func(rating Rating) float64 { return rating.Faults })
+	for at := range ratings {
+		ratings[at].Slowness -= slowness
+		ratings[at].Faults = math.Max(0, ratings[at].Faults-faults)
+	}
+}
+
+// middle returns the lower median of a value.
+func middle(ratings []Rating, value func(Rating) float64) float64 {
 	var buffer [maxChoices]float64
 	values := buffer[:0]
 	for _, rating := range ratings {
-		values = append(values, rating.Slowness)
+		values = append(values, value(rating))
 	}
 	slices.Sort(values)
-	middle := values[(len(values)-1)/2]
-	for at := range ratings {
-		ratings[at].Slowness -= middle
-	}
+	return values[(len(values)-1)/2]
 }
 
 // eject marks the slowest candidates, at most half of them. A single one tells
--- a/route/policy.go
+++ b/route/policy.go
@@ -57,7 +57,8 @@
 	if !rating.Candidate.SameZone {
 		penalty += zonePenalty
 	}
-	return service*(1+load+math.Max(0, load-1)) + float64(penalty+rating.linkWait())
+	fails := rating.Faults * (service + float64(failurePenalty))
+	return service*(1+load+math.Max(0, load-1)) + fails + float64(penalty+rating.linkWait())
 }
 
 // linkWait returns the time that an answer waits for the link of the upstream's
--- a/route/state.go
+++ b/route/state.go
@@ -18,6 +18,9 @@
 	slownessDecay = 3 * time.Second
 	ejectionDecay = 5 * time.Second
 	maxEjections  = 3
+	// faultDecay is the half-life of a report of failed work. An upstream that
+	// gets no more attempts is tried again by each node every few seconds.
+	faultDecay = 1500 * time.Millisecond
 	sampleWeight  = 0.2
 	// sampleMemory is the half-life of a sample once another one follows.
 	sampleMemory = 200 * time.Millisecond
@@ -180,6 +183,15 @@
 	return max(s.Outstanding, reported)
 }
 
+// faults returns the part of the upstream's work that its owner reported as
+// failed, less the longer ago that was.
+func (s *UpstreamState) faults(now time.Time) float64 {
+	if s.Load.Faults == 0 {
+		return 0
+	}
+	return s.Load.Faults * math.Exp2(-float64(now.Sub(s.Reported))/float64(faultDecay))
+}
+
 func logRatio(elapsed, usual time.Duration) float64 {
 	ratio := math.Log(float64(elapsed+ratioFloor) / float64(usual+ratioFloor))
 	return min(max(ratio, -maxSlowness), maxSlowness)
