--- a/flow/table.go
+++ b/flow/table.go
@@ -16,7 +16,7 @@
 	defaultUpstreams = 4
 	// maxAttempts bounds the attempts of a call, those that owners refused
 	// included.
-	maxAttempts       = 6
+	maxAttempts       = 4
 	defaultRetryAfter = 200 * time.Millisecond
 )
 
--- a/route/state.go
+++ b/route/state.go
@@ -20,8 +20,8 @@
 	maxEjections  = 3
 	// faultDecay is the half-life of a report of failed work. An upstream that
 	// gets no more attempts is tried again by each node every few seconds.
-	faultDecay = 1500 * time.Millisecond
-	sampleWeight  = 0.2
+	faultDecay   = 1500 * time.Millisecond
+	sampleWeight = 0.2
 	// sampleMemory is the half-life of a sample once another one follows.
 	sampleMemory = 200 * time.Millisecond
 	// maxWeight and maxSlowness keep one straggler from ejecting an upstream.
