Let an answer whose receiver stalls delay no other

Cause (found in review): a large answer held the link's turn until its last byte was written, so that one receiver that takes nothing kept all large answers of the instance from leaving until its deadline. Change: an answer is given the link's next free time as it comes and each chunk is due at its part of it; a stalled one loses its time alone. The rate limiter and the turn are gone. Ruled out: a time limit on the turn (it would still be paid by all others). Before/after: TestStalledReceiver hung (panic after its 10 s), now passes; order and times are checked on given times by TestLinkTimes, which replaces the order seen of goroutines.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -264,7 +264,7 @@
 	if !hasBody(job.Method, answer.Status) {
 		return
 	}
-	if en.owner.link.write(ctx, writer, answer.Body, en.now()) != nil {
+	if en.owner.link.write(ctx, writer, answer.Body, en.now) != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -3,78 +3,94 @@
 import (
 	"context"
 	"io"
-	"sync/atomic"
+	"sync"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
-const (
-	// linkChunk is the size in bytes in which large answers are sent, and
-	// linkBurst that which may be sent at once: a small answer waits behind no
-	// more than that.
-	linkChunk = 8 << 10
-	linkBurst = 16 << 10
-)
+// linkChunk is the size in bytes in which large answers are sent: a small answer
+// waits behind no more than one of them.
+const linkChunk = 8 << 10
 
-// Link sends the answers that leave an instance. Large ones go one after the
-// other at the link's rate, so that each is complete as early as it can be and
-// small ones, which never wait, meet an idle link. The zero value has no limit.
+// Link spreads the answers that leave an instance over time. Large ones get the
+// link one after the other, so that each is complete as early as it can be and
+// small ones, which never wait, meet an idle link. An answer whose receiver
+// stalls loses its time and delays no other. The zero value has no limit.
 type Link struct {
-	limiter *rate.Limiter
-	// turn holds a token while a large answer is being sent.
-	turn chan struct{}
-	// pending is the number of bytes of large answers that are not sent yet.
-	pending atomic.Int64
+	// rate is in bytes a second.
+	rate float64
+	mu   sync.Mutex
+	// free is when the link has sent all that it was given.
+	free time.Time
 }
 
 // NewLink returns a link on which answers may take a number of bytes a second.
-func NewLink(bytesPerSecond float64) *Link {
-	return &Link{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), linkBurst), turn: make(chan struct{}, 1)}
-}
+func NewLink(bytesPerSecond float64) *Link { return &Link{rate: bytesPerSecond} }
 
 // Wait returns the time that a large answer would wait for those before it.
-func (li *Link) Wait() time.Duration {
-	if li.limiter == nil {
-		return 0
+func (li *Link) Wait(now time.Time) time.Duration {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	return max(0, li.free.Sub(now))
+}
+
+// take gives the link's next free time to a number of bytes and returns when
+// it begins.
+func (li *Link) take(size int, now time.Time) time.Time {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	begin := now
+	if li.free.After(now) {
+		begin = li.free
 	}
-	return time.Duration(float64(li.pending.Load()) / float64(li.limiter.Limit()) * float64(time.Second))
+	li.free = begin.Add(li.lasting(size))
+	return begin
 }
 
-// write writes an answer, in chunks if it is large.
-func (li *Link) write(ctx context.Context, writer io.Writer, body []byte, now time.Time) error {
-	if li.limiter == nil || len(body) <= linkChunk {
-		if li.limiter != nil {
-			li.limiter.ReserveN(now, len(body))
-		}
+// lasting returns how long the link needs for a number of bytes.
+func (li *Link) lasting(size int) time.Duration {
+	return time.Duration(float64(size) / li.rate * float64(time.Second))
+}
+
+// write writes an answer, in chunks at their times if it is large.
+func (li *Link) write(ctx context.Context, writer io.Writer, body []byte, now func() time.Time) error {
+	if li.rate <= 0 {
 		_, err := writer.Write(body)
 		return err
 	}
-	left := int64(len(body))
-	li.pending.Add(left)
-	defer func() { li.pending.Add(-left) }()
-	select {
-	case li.turn <- struct{}{}:
-		defer func() { <-li.turn }()
-	case <-ctx.Done():
-		return context.Cause(ctx)
+	begin := li.take(len(body), now())
+	if len(body) <= linkChunk {
+		_, err := writer.Write(body)
+		return err
 	}
-	for len(body) > 0 {
-		size := min(linkChunk, len(body))
-		if err := li.limiter.WaitN(ctx, size); err != nil {
+	for sent := 0; sent < len(body); {
+		if err := sleepUntil(ctx, begin.Add(li.lasting(sent)), now()); err != nil {
 			return err
 		}
-		if _, err := writer.Write(body[:size]); err != nil {
+		end := min(sent+linkChunk, len(body))
+		if _, err := writer.Write(body[sent:end]); err != nil {
 			return err
 		}
 		flush(writer)
-		body = body[size:]
-		left -= int64(size)
-		li.pending.Add(-int64(size))
+		sent = end
 	}
 	return nil
 }
 
+// sleepUntil waits for an instant, or returns why the context ended before.
+func sleepUntil(ctx context.Context, at, now time.Time) error {
+	if !at.After(now) {
+		return context.Cause(ctx)
+	}
+	timer := time.NewTimer(at.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // flush sends a chunk on its way, as the rest follows later.
 func flush(writer io.Writer) {
 	if flusher, ok := writer.(interface{ Flush() }); ok {
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -108,7 +108,7 @@
 		defer ow.forget(id)
 	}
 	work := workOf(id, job)
-	work.LinkWait = ow.link.Wait()
+	work.LinkWait = ow.link.Wait(ow.now())
 	ow.post(admit.Arrived{Work: work})
 	select {
 	case reply := <-open.reply:
@@ -121,7 +121,7 @@
 
 func (ow *Owner) withLoad(reply Reply) Reply {
 	reply.Load = ow.load()
-	reply.Load.LinkWait = ow.link.Wait()
+	reply.Load.LinkWait = ow.link.Wait(ow.now())
 	return reply
 }
 
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -302,7 +302,7 @@
 	header.Set(headerDigest, digestOf(body))
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	writer.WriteHeader(http.StatusOK)
-	if ow.link.write(ctx, writer, body, ow.now()) != nil {
+	if ow.link.write(ctx, writer, body, ow.now) != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
