--- a/flow/table.go
+++ b/flow/table.go
@@ -16,7 +16,7 @@
 	defaultUpstreams = 4
 	// maxAttempts bounds the attempts of a call, those that owners refused
 	// included.
-	maxAttempts       = 4
+	maxAttempts       = 6
 	defaultRetryAfter = 200 * time.Millisecond
 )
 
@@ -58,9 +58,8 @@
 	// Nodes returns the number of nodes that share the budgets.
 	Nodes func() int
 	Ended func(sample route.Sample, now time.Time)
-	// Failed tells of a call that was not served or given up, whose caller may
-	// come back.
-	// It may be nil.
+	// Failed tells of a call that was not served or was given up, whose caller
+	// may come back. It may be nil.
 	Failed func(call Call, now time.Time)
 }
 
