--- a/route/fault_test.go
+++ b/route/fault_test.go
@@ -63,4 +63,5 @@
 	is.True(failing(1, 1, true) < 0.06)
 	is.True(failing(4, 1, false) < 0.16) // two random of ten are both of the four in 0.13
 	is.True(failing(10, 0.5, false) == 1)
+	is.True(failing(8, 1, false) > 0.7) // most fail: the two that are left are not crushed
 }
