Answer requests that come while the callers' listener closes

Change: the accept loop hands its last connection over before the service ends; closing turns keep-alive off, waits for the connections and only then closes them. The same for the server that a change of the limits replaces.

--- a/node/callers.go
+++ b/node/callers.go
@@ -18,16 +18,20 @@
 type callers struct {
 	listener net.Listener
 	handler  http.Handler
+	// handed is closed when the last connection that was accepted has its server.
+	handed chan struct{}
 
 	mu     sync.Mutex
 	limits conf.Limits
 	server *http.Server
 	feed   *feed
 	closed bool
+	// open counts the connections that are not closed.
+	open sync.WaitGroup
 }
 
 func newCallers(listener net.Listener, handler http.Handler) *callers {
-	cl := &callers{listener: listener, handler: handler}
+	cl := &callers{listener: listener, handler: handler, handed: make(chan struct{})}
 	cl.start(conf.Limits{})
 	return cl
 }
@@ -39,6 +43,7 @@
 		ReadHeaderTimeout: readHeaderLimit,
 		IdleTimeout:       callerIdleLimit,
 		MaxHeaderBytes:    defaultHeaderBytes,
+		ConnState:         cl.count,
 	}
 	if limits.HeaderTimeout > 0 {
 		server.ReadHeaderTimeout = limits.HeaderTimeout
@@ -60,35 +65,61 @@
 	if cl.closed || limits == cl.limits {
 		return
 	}
-	old := cl.server
+	old, feed := cl.server, cl.feed
 	cl.start(limits)
-	go func() { _ = old.Shutdown(context.Background()) }()
+	_ = feed.Close()
+	old.SetKeepAlivesEnabled(false)
+}
+
+// count notes that a connection has ended.
+func (cl *callers) count(_ net.Conn, state http.ConnState) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		cl.open.Done()
+	}
 }
 
 // serve accepts connections until the listener is closed.
 func (cl *callers) serve() error {
+	defer close(cl.handed)
 	for {
 		conn, err := cl.listener.Accept()
 		if err != nil {
 			return err
 		}
-		cl.mu.Lock()
-		feed := cl.feed
-		cl.mu.Unlock()
-		feed.put(conn)
+		cl.hand(conn)
 	}
 }
 
-// close ends the service when what is under way is answered, or at the latest
-// with the context.
-func (cl *callers) close(ctx context.Context) {
+// hand gives a connection to the present server, which ends only after it.
+func (cl *callers) hand(conn net.Conn) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	cl.closed = true
+	cl.open.Add(1)
+	cl.feed.conns <- conn
+}
+
+// close ends the service when what is under way is answered, or at the latest
+// with the context. A request that comes meanwhile on a connection that was
+// accepted before is answered too, which a shutdown by the library would not.
+func (cl *callers) close(ctx context.Context) {
 	_ = cl.listener.Close()
-	if cl.server.Shutdown(ctx) != nil {
-		_ = cl.server.Close()
+	quiet := make(chan struct{})
+	go func() {
+		<-cl.handed
+		cl.mu.Lock()
+		cl.closed = true
+		cl.server.SetKeepAlivesEnabled(false)
+		cl.mu.Unlock()
+		cl.open.Wait()
+		close(quiet)
+	}()
+	select {
+	case <-quiet:
+	case <-ctx.Done():
 	}
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	_ = cl.server.Close()
 }
 
 // feed is a listener whose connections are put into it.
@@ -103,14 +134,6 @@
 	return &feed{address: address, conns: make(chan net.Conn), done: make(chan struct{})}
 }
 
-func (fd *feed) put(conn net.Conn) {
-	select {
-	case fd.conns <- conn:
-	case <-fd.done:
-		_ = conn.Close()
-	}
-}
-
 // Accept returns the next connection that was put.
 func (fd *feed) Accept() (net.Conn, error) {
 	select {
--- a/node/callers_test.go
+++ b/node/callers_test.go
@@ -53,3 +53,45 @@
 	cl.close(ctx)
 	is.True(<-done != nil)
 }
+
+// heldListener accepts its one connection only once it is closed, as an accept
+// that crosses the close does.
+type heldListener struct {
+	net.Listener
+	closing  chan struct{}
+	accepted bool
+}
+
+func (hl *heldListener) Accept() (net.Conn, error) {
+	<-hl.closing
+	if hl.accepted {
+		return nil, net.ErrClosed
+	}
+	hl.accepted = true
+	return hl.Listener.Accept()
+}
+
+func (hl *heldListener) Close() error {
+	close(hl.closing)
+	return nil
+}
+
+// TestAcceptCrossesClose answers a request on a connection that was accepted
+// while the service was being closed.
+func TestAcceptCrossesClose(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = inner.Close() }()
+	cl := newCallers(&heldListener{Listener: inner, closing: make(chan struct{})}, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	answered := make(chan string, 1)
+	go func() { answered <- ask(is, conn, 10) }()
+	served := make(chan error, 1)
+	go func() { served <- cl.serve() }()
+	cl.close(context.Background())
+	is.True(<-served != nil)
+	is.Equal(<-answered, "200")
+}
