Remember the end of a process that a restarted node has not heard of

It acknowledged it, but as it knew no process it took it for a late one ('announcement-ignored'), and a late announcement of that process made it the upstream again. Change: the end of an unknown process is kept for as long as announcements can be late; one of a start before it names no upstream. Ruled out: work that waited (the request was sent after the bound). Before/after: TestDepartureAfterRestart failed for late announcements with and without a start, now passes.

--- a/core/owner.go
+++ b/core/owner.go
@@ -20,6 +20,8 @@
 	announcement Announcement
 	known        bool
 	renewed      time.Time
+	// departed is when a process that was not known ended, while that holds.
+	departed time.Time
 	readyAt      time.Time
 	// unreached states that the upstream took no connection since it announced
 	// itself last.
@@ -29,7 +31,11 @@
 }
 
 func (st *State) announced(announcement Announcement, now time.Time) []types.Effect {
+	st.forgetDeparture(now)
 	last := st.upstream.announcement
+	if announcement.Gone && announcement.Process != "" && last == (Announcement{}) {
+		return st.departedUnknown(announcement, now)
+	}
 	if !announcement.supersedes(last) {
 		detail := fmt.Sprintf("process %s sequence %d came after process %s sequence %d", announcement.Process, announcement.Sequence, last.Process, last.Sequence)
 		return []types.Effect{trace.Event{Kind: trace.AnnouncementIgnored, Subject: st.fleet.Self().ID, Detail: detail}}
@@ -44,7 +50,7 @@
 		st.upstream.readyAt = now
 	}
 	changed := !st.upstream.known || last.Leaving != announcement.Leaving || !announcement.sameProcess(last)
-	st.upstream.known = true
+	st.upstream.known, st.upstream.departed = true, time.Time{}
 	st.upstream.announcement = announcement
 	st.upstream.renewed = now
 	effects = append(effects, st.refreshUpstream(now)...)
@@ -59,6 +65,23 @@
 	return append(effects, trace.Event{Kind: kind, Subject: st.fleet.Self().ID, Detail: detail})
 }
 
+// departedUnknown remembers the end of a process that has not announced itself to
+// this node, which may have started since. Late announcements of that process
+// are told by its start, which lies before now.
+func (st *State) departedUnknown(announcement Announcement, now time.Time) []types.Effect {
+	announcement.Born = now.Round(0)
+	st.upstream.announcement, st.upstream.departed = announcement, now
+	return []types.Effect{trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: "process " + string(announcement.Process) + " ended before it was known"}}
+}
+
+// forgetDeparture drops the memory of an unknown process once its announcements
+// can't be late any more, so that one without a start is taken again.
+func (st *State) forgetDeparture(now time.Time) {
+	if departed := st.upstream.departed; !departed.IsZero() && now.Sub(departed) > announcementExpiry {
+		st.upstream.announcement, st.upstream.departed = Announcement{}, time.Time{}
+	}
+}
+
 // replaceUpstream turns to the process of an announcement if it is another one
 // than before. What waits for the old one is refused.
 func (st *State) replaceUpstream(announcement Announcement, now time.Time) []types.Effect {
--- a/core/policy_test.go
+++ b/core/policy_test.go
@@ -30,6 +30,14 @@
 // newSingle returns a node with a number of services of 4 upstreams each, the
 // first upstream of the first service being its own.
 func newSingle(tb testing.TB, services, upstreams int, rules ...conf.UpstreamRule) *single {
+	tb.Helper()
+	sg := newSilent(tb, services, upstreams, rules...)
+	sg.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
+	return sg
+}
+
+// newSilent returns a node whose own upstream has not announced itself.
+func newSilent(tb testing.TB, services, upstreams int, rules ...conf.UpstreamRule) *single {
 	tb.Helper()
 	self := fleet.Member{ID: "i0", Zone: "kolkata", Address: "10.0.0.1:1", Incarnation: 1, Started: start.Add(-time.Hour)}
 	sg := &single{state: core.New(self, core.WithSeed(1)), now: start}
@@ -49,7 +57,6 @@
 	sg.snapshot = snapshot
 	sg.step(conf.Offered{Snapshot: snapshot, Version: 1})
 	sg.step(core.RootRead{Epoch: sg.state.Fleet().Epoch(), Version: 1})
-	sg.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
 	message := fleet.Message{From: "i1", Incarnation: 1, Version: 1, Full: true}
 	for number := 1; number < upstreams; number++ {
 		message.Members = append(message.Members, fleet.Member{
