--- a/core/owner.go
+++ b/core/owner.go
@@ -22,7 +22,7 @@
 	renewed      time.Time
 	// departed is when a process that was not known ended, while that holds.
 	departed time.Time
-	readyAt      time.Time
+	readyAt  time.Time
 	// unreached states that the upstream took no connection since it announced
 	// itself last.
 	unreached bool
