--- a/core/depart_test.go
+++ b/core/depart_test.go
@@ -37,3 +37,18 @@
 		})
 	}
 }
+
+// TestDepartureBeforeRestart ends a process, starts its node again and delivers
+// a late announcement of that process, which must not name it again.
+func TestDepartureBeforeRestart(t *testing.T) {
+	check := is.New(t)
+	late := core.Announcement{Process: "p", Born: start.Add(-time.Minute), Service: "s0", Slots: 10, Connections: 100}
+	before := newSilent(t, 1, 2)
+	before.announce(late)
+	before.announce(core.Announcement{Process: "p", Gone: true})
+	after := newSilent(t, 1, 2)
+	after.now = after.now.Add(2 * time.Second)
+	after.announce(late)
+	dispatched, _, _ := tally(after.work(1, time.Second))
+	check.Equal(dispatched, 0)
+}
