Keep a departure over the restart of the node

Change: the departure (process, start, sequence, ended or draining) is part of the node's membership record, which peers carry over to the record of a later process, and of its directory record on the platform. The acknowledgement waits up to 500 ms for the platform; without it, it is given and the write tried again. A started node gives its upstream no work until it has read its record, for at most a second. The known departure then counts as the last announcement, so the order by start and sequence decides as before the restart. Ruled out: asking the upstream's health before the first dispatch (false at times and priced); the store alone (away at times); peers alone (a herd restart forgets them). Also: the record is written under its known revision, which spares a read at each leave, and a missing record is noticed by the directory read. Before: TestDepartureBeforeRestart failed; TestDepartureSurvivesRestart answers 200 instead of 503 without the read of the record. After: both pass.

--- a/codec/peer.go
+++ b/codec/peer.go
@@ -96,6 +96,9 @@
 	if !member.StartedAt.IsZero() {
 		wire.StartedMillis = member.StartedAt.UnixMilli()
 	}
+	if departure, ok := member.Departure.Get(); ok {
+		wire.Departure = departureToProto(departure)
+	}
 	if upstream, ok := member.Upstream.Get(); ok {
 		wire.Upstream = &peerv1.Upstream{
 			Slots:         uint32(upstream.Slots),
@@ -131,6 +134,12 @@
 	if millis := wire.GetStartedMillis(); millis != 0 {
 		member.StartedAt = time.UnixMilli(millis)
 	}
+	if departure := wire.GetDeparture(); departure != nil {
+		if len(departure.GetProcess()) > maxNameLength {
+			return fleet.Member{}, fault.New(fault.InvalidInput, "peer message: the name of a process of member %q is too long", wire.GetInstance())
+		}
+		member.Departure = types.Some(departureFromProto(departure))
+	}
 	if upstream := wire.GetUpstream(); upstream != nil {
 		member.Upstream = types.Some(fleet.Upstream{
 			Slots:       int(upstream.GetSlots()),
@@ -143,6 +152,22 @@
 	return member, nil
 }
 
+func departureToProto(departure fleet.Departure) *peerv1.Departure {
+	wire := &peerv1.Departure{Process: string(departure.Process), Sequence: departure.Sequence, Ended: departure.Ended}
+	if !departure.StartedAt.IsZero() {
+		wire.StartedMillis = departure.StartedAt.UnixMilli()
+	}
+	return wire
+}
+
+func departureFromProto(wire *peerv1.Departure) fleet.Departure {
+	departure := fleet.Departure{Process: types.ProcessID(wire.GetProcess()), Sequence: wire.GetSequence(), Ended: wire.GetEnded()}
+	if millis := wire.GetStartedMillis(); millis != 0 {
+		departure.StartedAt = time.UnixMilli(millis).UTC()
+	}
+	return departure
+}
+
 // warmUpFromProto limits the warm-up time that a peer reports for an upstream to the
 // range from 0 to maxWarmUp.
 func warmUpFromProto(millis int64) time.Duration {
--- a/core/join.go
+++ b/core/join.go
@@ -75,7 +75,7 @@
 
 // timelineEvents returns the timeline events for the membership changes among
 // effects. It starts a graceful stop if a later process of the same instance has
-// replaced this one.
+// replaced this one, and applies the departure that peers remember for this node.
 func (st *State) timelineEvents(effects []types.Effect, now time.Time) []types.Effect {
 	var events []types.Effect
 	for _, effect := range effects {
@@ -85,6 +85,8 @@
 		case fleet.Duplicated:
 			detail := "an earlier process still runs at " + string(ef.Older.Address)
 			events = append(events, trace.Event{Kind: trace.InstanceDuplicated, Subject: ef.Older.ID, Detail: detail})
+		case fleet.DepartureLearned:
+			events = append(events, st.departureLearned(ef.Departure, now)...)
 		case fleet.Superseded:
 			if !st.stop.requested {
 				detail := "a later process runs at " + string(ef.By.Address)
--- a/core/owner.go
+++ b/core/owner.go
@@ -51,7 +51,11 @@
 	st.upstream.unreachable = false
 	if announcement.Ending {
 		st.upstream.announcement.Ending = true
-		return st.forgetUpstream("it ended")
+		effects := st.forgetUpstream("it ended")
+		if !last.Leaving && !last.Ending {
+			effects = append(effects, st.recordDeparture()...)
+		}
+		return effects
 	}
 	effects := st.switchUpstream(announcement, now)
 	if last.Leaving && !announcement.Leaving {
@@ -68,6 +72,7 @@
 	kind := trace.UpstreamAnnounced
 	if announcement.Leaving {
 		kind = trace.UpstreamLeft
+		effects = append(effects, st.recordDeparture()...)
 	}
 	detail := fmt.Sprintf("service %s process %s slots %d", announcement.Service, announcement.Process, announcement.Slots)
 	return append(effects, trace.Event{Kind: kind, Subject: st.fleet.Self().ID, Detail: detail})
@@ -80,7 +85,7 @@
 func (st *State) recordUnknownDeparture(announcement Announcement, now time.Time) []types.Effect {
 	announcement.StartedAt = now.Round(0)
 	st.upstream.announcement, st.upstream.departedAt = announcement, now
-	return []types.Effect{trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: "process " + string(announcement.Process) + " ended before it was known"}}
+	return append(st.recordDeparture(), trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: "process " + string(announcement.Process) + " ended before it was known"})
 }
 
 // expireDeparture removes the record of an unknown process that ended more than
@@ -113,7 +118,7 @@
 // is leaving or closed, queued work is refused so that it can run at another
 // upstream, and running work continues.
 func (st *State) refreshUpstream(now time.Time) []types.Effect {
-	if !st.upstream.known {
+	if !st.upstream.known || !st.record.open {
 		return nil
 	}
 	if now.Sub(st.upstream.renewedAt) > announcementExpiry {
@@ -203,6 +208,8 @@
 		return fault.New(fault.Stopping, "the upstream's node is stopping").WithRetryAfter(defaultRetryAfter)
 	case !st.joined():
 		return fault.New(fault.NotReady, "the upstream's node has not joined the fleet").WithRetryAfter(defaultRetryAfter)
+	case !st.record.open:
+		return fault.New(fault.NotReady, "the node has not read its record on the platform").WithRetryAfter(defaultRetryAfter)
 	case !st.upstream.known || st.upstream.announcement.Service != work.Service:
 		return fault.New(fault.NoUpstream, "the node owns no upstream of service %q", work.Service).WithRetryAfter(defaultRetryAfter)
 	case st.upstream.unreachable:
--- a/core/state.go
+++ b/core/state.go
@@ -23,6 +23,7 @@
 	calls     *flow.Table
 	keys      keyState
 	upstream  localUpstream
+	record    recordGate
 	rules     ruleCache
 	// candidates is a buffer that pick reuses to avoid allocations.
 	candidates    []route.Candidate
@@ -47,6 +48,8 @@
 	ledger    []flow.LedgerOption
 	calls     []flow.Option
 	fleet     []fleet.Option
+
+	recordReadLimit time.Duration
 }
 
 // Option changes a setting of a State.
@@ -108,6 +111,7 @@
 		callerRetries: flow.NewRetryTracker(),
 		policies:      se.policies,
 		stop:          stopProgress{linger: se.linger},
+		record:        recordGate{limit: se.recordReadLimit, open: se.recordReadLimit == 0},
 	}
 	hooks := flow.Hooks{
 		Pick: st.pick, NextOwner: st.nextOwner, AttemptStarted: st.balancer.AttemptStarted, AttemptEnded: st.balancer.AttemptEnded,
@@ -168,6 +172,8 @@
 		return nil
 	case RootRead:
 		return st.rootRead(ev)
+	case RecordRead:
+		return st.recordRead(ev, now)
 	case fleet.ExchangeReceived, fleet.ExchangeAnswered, fleet.ExchangeFailed, fleet.IndirectProbeEnded, fleet.PullEnded:
 		return st.exchanged(event, now)
 	default:
@@ -198,6 +204,7 @@
 
 func (st *State) tick(now time.Time) []types.Effect {
 	st.lastTick = now
+	st.record.tick(now)
 	effects := st.fleet.Tick(now)
 	effects = append(effects, st.timelineEvents(effects, now)...)
 	effects = append(effects, st.refreshUpstream(now)...)
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -78,6 +78,8 @@
 	HeldVersion types.Version
 	// Leaving is true if the node is shutting down and accepts no new work.
 	Leaving bool
+	// Departure is the latest departure of a process of the node's upstream.
+	Departure types.Option[Departure]
 	// GoneFor is how long the sender of a message has known that the member is
 	// dead or left. It is zero in records that are not part of a message.
 	GoneFor time.Duration
@@ -167,7 +169,11 @@
 // size returns an upper bound for the size of the encoded record in bytes.
 func (m Member) size() int {
 	const fixedSize = 88
-	return fixedSize + len(m.ID) + len(m.Address) + len(m.Zone) + len(m.Region) + len(m.Service)
+	size := fixedSize + len(m.ID) + len(m.Address) + len(m.Zone) + len(m.Region) + len(m.Service)
+	if departure, ok := m.Departure.Get(); ok {
+		size += departureSize + len(departure.Process)
+	}
+	return size
 }
 
 // heldHash returns a hash of the member's ID and the configuration version
@@ -187,10 +193,13 @@
 		buffer = append(append(buffer, field...), 0)
 	}
 	upstream, _ := m.Upstream.Get()
+	departure, departed := m.Departure.Get()
+	buffer = append(append(buffer, departure.Process...), 0)
 	numbers := []uint64{
 		m.Incarnation, uint64(m.Status), uint64(m.StartedAt.UnixMilli()), boolToUint64(m.Leaving),
 		boolToUint64(m.Upstream.IsSome()), boolToUint64(upstream.Leaving), uint64(upstream.Slots), uint64(upstream.Connections),
 		uint64(upstream.WarmUp.Milliseconds()), uint64(upstream.ReadyAt.UnixMilli()),
+		boolToUint64(departed), boolToUint64(departure.Ended), departure.Sequence, uint64(departure.StartedAt.UnixMilli()),
 	}
 	for _, number := range numbers {
 		buffer = binary.LittleEndian.AppendUint64(buffer, number)
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -203,7 +203,7 @@
 		rc.deathClaim = types.Some(member)
 		return nil
 	}
-	return tb.store(member.WithHeldVersion(rc.member.HeldVersion), now)
+	return tb.store(member.WithHeldVersion(rc.member.HeldVersion).WithDeparture(rc.member.Departure), now)
 }
 
 // mergeSelf handles a peer's record of this node. A record with the same
@@ -214,8 +214,14 @@
 // one, if this process has joined and the record says neither dead nor left.
 // Otherwise, the record is taken for that of an earlier process whose clock was
 // ahead, and this node announces a process start just after the one in the
-// record.
+// record. In all cases, the version held and the departure in the record are
+// taken over.
 func (tb *Table) mergeSelf(reported Member) []types.Effect {
+	effects := tb.learnDeparture(reported)
+	return append(effects, tb.refute(reported)...)
+}
+
+func (tb *Table) refute(reported Member) []types.Effect {
 	if reported.HeldVersion > tb.self.HeldVersion {
 		tb.setSelf(tb.self.WithHeldVersion(reported.HeldVersion))
 	}
--- a/node/directory.go
+++ b/node/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"sequoiamill.example/sequoiamill/core"
@@ -37,14 +38,42 @@
 	Instance string `json:"instance"`
 	Address  string `json:"address"`
 	Zone     string `json:"zone"`
+	// Departure is the latest departure of a process of the node's upstream.
+	Departure departureWire `json:"departure,omitzero"`
+}
+
+// recordKeeper remembers the state of the node's directory record.
+type recordKeeper struct {
+	mu sync.Mutex
+	// revision is the revision of the record as last written. It is empty if the
+	// node has not written the record.
+	revision plat.Revision
+	// body is the record's body as last written.
+	body string
+}
+
+// forgetUnless makes the node write its record again, unless the directory has the
+// record at the revision that the node wrote last.
+func (rk *recordKeeper) forgetUnless(found plat.Revision) {
+	rk.mu.Lock()
+	defer rk.mu.Unlock()
+	if rk.revision != found {
+		rk.revision = ""
+	}
 }
 
 func (nd *Node) record() recordWire {
-	return recordWire{
+	wire := recordWire{
 		Instance: string(nd.settings.Instance),
 		Address:  string(nd.PeerAddress()),
 		Zone:     string(nd.settings.Zone),
 	}
+	nd.loop.read(func(state *core.State) {
+		if departure, ok := state.Fleet().Self().Departure.Get(); ok {
+			wire.Departure = departureToWire(departure)
+		}
+	})
+	return wire
 }
 
 func (nd *Node) recordName() plat.Name {
@@ -81,7 +110,7 @@
 			sleep(ctx, jitter(discoveryInterval))
 		default:
 			sleep(ctx, jitter(refreshInterval))
-			nd.refresh(ctx)
+			nd.refresh(ctx) // writeRecord then restores a record that is missing
 		}
 		pause.reset()
 	}
@@ -114,43 +143,74 @@
 		return nil, err
 	}
 	var seeds []types.Address
+	var own plat.Revision
 	for _, object := range objects {
+		if object.Name == nd.recordName() {
+			own = object.Revision
+			continue
+		}
 		var wire recordWire
-		if json.Unmarshal(object.Body, &wire) == nil && wire.Address != "" && object.Name != nd.recordName() {
+		if json.Unmarshal(object.Body, &wire) == nil && wire.Address != "" {
 			seeds = append(seeds, types.Address(wire.Address))
 		}
 	}
 	nd.loop.post(fleet.SeedsFound{Addresses: seeds})
+	nd.recordKeeper.forgetUnless(own)
 	return objects, nil
 }
 
 // writeRecord creates the node's directory record, or updates it if its content
-// has changed. An update fails if the record has been written since writeRecord
-// read it.
+// has changed. If the directory has a record of an earlier process of this
+// instance, writeRecord first applies the departure in it.
 func (nd *Node) writeRecord(ctx context.Context) error {
+	nd.recordKeeper.mu.Lock()
+	defer nd.recordKeeper.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	body, err := json.Marshal(nd.record())
-	if err != nil {
-		return err
+	err := nd.putRecord(ctx, nd.recordKeeper.revision)
+	if fault.Is(err, fault.VersionConflict) || fault.Is(err, fault.NotFound) {
+		nd.recordKeeper.revision = ""
+		err = nd.replaceRecord(ctx)
 	}
-	own := plat.Object{Name: nd.recordName(), Body: body}
-	if !nd.recordWritten {
-		_, err = nd.store.Put(ctx, own)
-		nd.recordWritten = err == nil
-		if !fault.Is(err, fault.VersionConflict) {
-			return err
-		}
+	if nd.recordKeeper.revision == "" {
+		return err
 	}
+	nd.loop.post(core.RecordRead{})
+	return err
+}
+
+// replaceRecord reads the node's directory record and replaces it.
+func (nd *Node) replaceRecord(ctx context.Context) error {
 	found, err := nd.store.Get(ctx, nd.recordName())
 	if fault.Is(err, fault.NotFound) {
-		nd.recordWritten = false
+		return nd.putRecord(ctx, "")
+	}
+	if err != nil {
 		return err
 	}
-	if err == nil && string(found.Body) != string(body) {
-		_, err = nd.store.Put(ctx, found.WithBody(body))
+	var wire recordWire
+	if json.Unmarshal(found.Body, &wire) == nil {
+		nd.loop.post(core.RecordRead{Departure: wire.Departure.departure()})
+	}
+	return nd.putRecord(ctx, found.Revision)
+}
+
+// putRecord writes the node's directory record, under the condition that the
+// record has the given revision, or does not exist if the revision is empty. It
+// writes nothing if the record is up to date as far as the node knows.
+func (nd *Node) putRecord(ctx context.Context, revision plat.Revision) error {
+	body, err := json.Marshal(nd.record())
+	if err != nil {
+		return err
+	}
+	keeper := &nd.recordKeeper
+	if keeper.revision != "" && keeper.body == string(body) {
+		return nil
+	}
+	stored, err := nd.store.Put(ctx, plat.Object{Name: nd.recordName(), Revision: revision, Body: body})
+	if err == nil {
+		keeper.revision, keeper.body = stored.Revision, string(body)
 	}
-	nd.recordWritten = nd.recordWritten || err == nil
 	return err
 }
 
@@ -159,10 +219,10 @@
 func (nd *Node) leave(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	object, err := nd.store.Get(call, nd.recordName())
-	var wire recordWire
-	if err == nil && json.Unmarshal(object.Body, &wire) == nil && wire == nd.record() {
-		_ = nd.store.Delete(call, object)
+	nd.recordKeeper.mu.Lock()
+	defer nd.recordKeeper.mu.Unlock()
+	if revision := nd.recordKeeper.revision; revision != "" {
+		_ = nd.store.Delete(call, plat.Object{Name: nd.recordName(), Revision: revision})
 	}
 	sleep(ctx, leaveDelay)
 }
--- a/node/effect.go
+++ b/node/effect.go
@@ -59,6 +59,8 @@
 		nd.owner.SetUpstream(ef.Process, ef.Address)
 	case core.ReadRoot:
 		nd.startRootRead(ef.Epoch)
+	case core.RecordDeparture:
+		go nd.writeDeparture(nd.runCtx, nd.departures.begin())
 	case core.WatchPlatform:
 		nd.watch.setWatching(nd, ef.On)
 	case core.Drained:
--- a/node/handler.go
+++ b/node/handler.go
@@ -135,11 +135,6 @@
 	return ctx.NoContent(http.StatusNoContent)
 }
 
-// Announce passes an announcement of the local upstream to the state machine.
-func (nd *Node) Announce(announcement core.Announcement) {
-	nd.loop.post(core.UpstreamAnnounced{Announcement: announcement})
-}
-
 // RecordRefusedAnnouncement records an event for an announcement that could not
 // be decoded.
 func (nd *Node) RecordRefusedAnnouncement(err *fault.Error) {
--- a/node/node.go
+++ b/node/node.go
@@ -83,9 +83,8 @@
 	// pull being served.
 	pullSlots       chan struct{}
 	bodyReadLimiter *rate.Limiter
-	// recordWritten is true if, as far as the node knows, the directory in the
-	// platform's store holds the node's record.
-	recordWritten bool
+	recordKeeper  recordKeeper
+	departures    departureWrites
 	// superseded is a context that is canceled when the node learns of another
 	// process of the same instance that started later than this one.
 	superseded context.Context
@@ -210,6 +209,7 @@
 		core.WithPolicies(nd.settings.Policies),
 		core.WithKeys(nd.settings.KeyLimits),
 		core.WithLinger(nd.settings.StopLinger),
+		core.WithRecordRead(recordReadLimit),
 	}
 	coreOptions = append(coreOptions, nd.coreOptions...)
 	nd.loop = &loop{state: core.New(self, coreOptions...), now: nd.now, run: nd.runEffect}
--- a/trace/event.go
+++ b/trace/event.go
@@ -44,6 +44,7 @@
 	CertsReloaded
 	CertsRefused
 	AnnouncementIgnored
+	DepartureUnrecorded
 	RetryDenied
 	SettingsReloaded
 	SettingsRefused
@@ -76,6 +77,7 @@
 	CertsRefused:       "certs-refused",
 
 	AnnouncementIgnored: "announcement-ignored",
+	DepartureUnrecorded: "departure-unrecorded",
 	RetryDenied:         "retry-denied",
 	SettingsReloaded:    "settings-reloaded",
 	SettingsRefused:     "settings-refused",
