Let fewer nodes speak to the platform

Cause: each node read the root, wrote a record and listed the directory at its start, one delegate a zone read the root each second, and each node's watch was asked for again 200 ms after each event. Change: a starting node joins through three peers that have run for 5 s and then needs no root; it reads the root at once when its peers have just started too, as after a herd restart. The directory is read from the platform's cache first, and only delegates, nodes without peers and nodes whose upstream departed write a record. All delegates together read the root once a second. The wait between two watch requests grows with the fleet, 4 ms a node up to 1.2 s; peers tell the version in between. Ruled out: watches on delegates alone (each node would pull a whole configuration from a peer over a thin link, and gossip takes longer than the bound in a storm of versions); cached reads in place of the delegates' reads (they may be seconds old).

--- a/core/state.go
+++ b/core/state.go
@@ -168,8 +168,7 @@
 	case types.TimerFired:
 		return st.fired(ev.Timer, now)
 	case fleet.SeedsFound:
-		st.fleet.AddSeeds(ev)
-		return nil
+		return st.fleet.AddSeeds(ev)
 	case RootRead:
 		return st.rootRead(ev)
 	case RecordRead:
--- a/fleet/join.go
+++ b/fleet/join.go
@@ -12,6 +12,10 @@
 // configuration version from the platform.
 const joinQuorum = 3
 
+// settledAge is how long a peer must have run so that it holds all versions that
+// were accepted before this node started.
+const settledAge = 5 * time.Second
+
 // maxSeeds bounds the seed addresses that are kept. The oldest are dropped first.
 const maxSeeds = 4096
 
@@ -24,6 +28,10 @@
 	// them.
 	answered bool
 	holders  []types.InstanceID
+	// settledHolders is the number of holders that have run for at least
+	// settledAge. starting is true if a peer replied that has not.
+	settledHolders int
+	starting       bool
 	// rootRead is true if the platform's root object, which gives the current
 	// configuration version, was read in this epoch.
 	rootRead bool
@@ -35,11 +43,16 @@
 
 func (jo *joinState) begin(epoch uint64) { *jo = joinState{epoch: epoch} }
 
-func (jo *joinState) recordAnswer(answer Message) {
+func (jo *joinState) recordAnswer(answer Message, now time.Time) {
 	jo.answered = true
 	jo.receivedFull = jo.receivedFull || answer.Full
+	settled := len(answer.Members) > 0 && now.Sub(answer.Members[0].StartedAt) >= settledAge
+	jo.starting = jo.starting || !settled
 	if answer.Version > 0 && len(jo.holders) < joinQuorum && !slices.Contains(jo.holders, answer.From) {
 		jo.holders = append(jo.holders, answer.From)
+		if settled {
+			jo.settledHolders++
+		}
 	}
 }
 
@@ -109,8 +122,9 @@
 	}
 }
 
-// AddSeeds adds addresses of possible peers and makes the next Tick contact one.
-func (tb *Table) AddSeeds(seeds SeedsFound) {
+// AddSeeds adds addresses of possible peers. A node that has not joined yet
+// contacts a few of them at once; otherwise, the next Tick contacts one.
+func (tb *Table) AddSeeds(seeds SeedsFound) []types.Effect {
 	for _, address := range seeds.Addresses {
 		if _, known := tb.seedSet[address]; known || address == tb.self.Address {
 			continue
@@ -123,4 +137,45 @@
 		tb.seeds = tb.seeds[1:]
 	}
 	tb.timing.reconnect = time.Time{}
+	if tb.joining.done || tb.self.Status == Left {
+		return nil
+	}
+	return tb.contactSeeds()
+}
+
+// contactSeeds starts exchanges with joinQuorum seed addresses that belong to no
+// known member.
+func (tb *Table) contactSeeds() []types.Effect {
+	var effects []types.Effect
+	var contacted types.Set[types.Address]
+	for range joinQuorum {
+		address, ok := tb.unknownSeed()
+		if ok && !contacted.Has(address) {
+			contacted = contacted.With(address)
+			effects = append(effects, tb.newExchange("", address, types.None[Member]()))
+		}
+	}
+	return effects
 }
+
+// contactQuorum starts exchanges with joinQuorum random peers, so that the node can
+// join without the platform.
+func (tb *Table) contactQuorum() []types.Effect {
+	var effects []types.Effect
+	for _, rc := range tb.liveSet.sample(joinQuorum, nil, tb.rand) {
+		effects = append(effects, tb.exchangeWith(rc))
+	}
+	return effects
+}
+
+// JoinedThroughPeers reports whether the node has joined through joinQuorum peers
+// that have a configuration and have run for a while. Together they hold any version
+// that was accepted before this node started, so the node need not read the
+// platform's root object.
+func (tb *Table) JoinedThroughPeers() bool {
+	return tb.joining.done && tb.joining.settledHolders >= joinQuorum
+}
+
+// AnsweredByStarting reports whether a peer replied that has not run for long
+// itself, as happens when many nodes start together.
+func (tb *Table) AnsweredByStarting() bool { return tb.joining.starting }
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -119,8 +119,9 @@
 // the anti-entropy comparison with the peer. Otherwise, it starts a comparison if
 // one is due.
 func (tb *Table) HandleExchangeAnswered(event ExchangeAnswered, now time.Time) []types.Effect {
+	first := event.Epoch == tb.joining.epoch && !tb.joining.answered
 	if event.Epoch == tb.joining.epoch {
-		tb.joining.recordAnswer(event.Message)
+		tb.joining.recordAnswer(event.Message, now)
 	}
 	effects := tb.merge(event.Message, now)
 	if rc, ok := tb.records[event.Message.From]; ok {
@@ -128,6 +129,9 @@
 		effects = append(effects, tb.syncWith(rc, event.Message, now)...)
 	}
 	tb.checkJoined()
+	if first && !tb.joining.done {
+		effects = append(effects, tb.contactQuorum()...)
+	}
 	return effects
 }
 
--- a/node/directory.go
+++ b/node/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,12 @@
 	// discoveryInterval is the average time between a node's reads of the
 	// directory while it knows no other live node.
 	discoveryInterval = 2 * time.Second
+	// recordInterval is the average time between two checks of whether the node's
+	// directory record is needed and up to date.
+	recordInterval = time.Second
+	// contactLimit is how long a node waits for an answer of the peers that it found
+	// in the directory.
+	contactLimit = 500 * time.Millisecond
 	// staleAfter is how long an instance must have been gone from the fleet, by
 	// failure or by leaving, before its directory record is removed.
 	staleAfter = 2 * time.Hour
@@ -91,29 +98,112 @@
 	return nil
 }
 
-// maintainRecord keeps the node's directory record up to date and reads the
-// directory every refreshInterval on average, or every discoveryInterval while no
-// other live node is known. A node writes its record before it reads the
-// directory, so of two nodes that start together at least one finds the other.
+// maintainRecord finds peers through the directory while the node knows none, and
+// keeps the node's own directory record up to date. Only nodes that others need there
+// have a record: see needsRecord. maintainRecord reads the whole directory every
+// refreshInterval on average.
 func (nd *Node) maintainRecord(ctx context.Context) {
 	pause := newBackoff()
+	ownRead := nd.settings.FirstStart
+	refreshAt := nd.now().Add(jitter(refreshInterval))
+	if ownRead {
+		nd.loop.post(core.RecordRead{})
+	}
 	for ctx.Err() == nil {
-		err := nd.writeRecord(ctx)
-		if err == nil && nd.alone() {
-			_, err = nd.readDirectory(ctx)
+		var err error
+		if !ownRead {
+			err = nd.readRecord(ctx)
+			ownRead = err == nil
 		}
-		switch {
-		case err != nil:
+		if err == nil {
+			err = nd.updateDirectory(ctx)
+		}
+		if err != nil {
 			pause.sleep(ctx)
 			continue
-		case nd.alone():
-			sleep(ctx, jitter(discoveryInterval))
-		default:
-			sleep(ctx, jitter(refreshInterval))
-			nd.refresh(ctx) // writeRecord then restores a record that is missing
 		}
 		pause.reset()
+		sleep(ctx, jitter(recordInterval))
+		if nd.now().After(refreshAt) {
+			refreshAt = nd.now().Add(jitter(refreshInterval))
+			nd.refresh(ctx)
+		}
+	}
+}
+
+// updateDirectory finds peers if the node knows none, and writes the node's record if
+// others need it.
+func (nd *Node) updateDirectory(ctx context.Context) error {
+	if nd.alone() {
+		return nd.findPeers(ctx)
+	}
+	if nd.needsRecord() {
+		return nd.writeRecord(ctx)
+	}
+	return nil
+}
+
+// needsRecord reports whether the directory must have a record of this node. It needs
+// one of each delegate, through which starting nodes find the fleet, and of each node
+// that must find the departure of its upstream there after a restart.
+func (nd *Node) needsRecord() bool {
+	needed := false
+	nd.loop.read(func(state *core.State) {
+		needed = state.Fleet().IsDelegate() || state.Fleet().Self().Departure.IsSome()
+	})
+	return needed
+}
+
+// findPeers looks for other nodes in the directory. If a cached copy of the directory
+// leads to none, the node writes its own record and reads the directory itself. A node
+// writes its record before that read, so of two nodes that start together at least one
+// finds the other.
+func (nd *Node) findPeers(ctx context.Context) error {
+	found, err := nd.addSeeds(ctx, nd.store.ListCached)
+	if err == nil && found > 0 && nd.awaitPeer(ctx) {
+		return nil
+	}
+	if err := nd.writeRecord(ctx); err != nil {
+		return err
+	}
+	if _, err := nd.readDirectory(ctx); err != nil {
+		return err
+	}
+	if !nd.awaitPeer(ctx) {
+		sleep(ctx, jitter(discoveryInterval))
+	}
+	return nil
+}
+
+// awaitPeer waits for the first live peer, at most for contactLimit. It reports
+// whether there is one.
+func (nd *Node) awaitPeer(ctx context.Context) bool {
+	for waited := time.Duration(0); waited < contactLimit && ctx.Err() == nil; waited += peerPollInterval {
+		if !nd.alone() {
+			return true
+		}
+		sleep(ctx, peerPollInterval)
+	}
+	return false
+}
+
+// readRecord reads the record that an earlier process of this node left in the
+// directory, and applies the departure in it.
+func (nd *Node) readRecord(ctx context.Context) error {
+	nd.recordKeeper.mu.Lock()
+	defer nd.recordKeeper.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	found, err := nd.store.Get(ctx, nd.recordName())
+	if err != nil && !fault.Is(err, fault.NotFound) {
+		return err
+	}
+	var wire recordWire
+	if err == nil && json.Unmarshal(found.Body, &wire) == nil {
+		nd.recordKeeper.revision, nd.recordKeeper.body = found.Revision, string(found.Body)
 	}
+	nd.loop.post(core.RecordRead{Departure: wire.Departure.departure()})
+	return nil
 }
 
 // refresh reads the directory. If this node watches the configuration's root
@@ -132,31 +222,46 @@
 	return alone
 }
 
-// readDirectory lists the records of the directory and returns them. It also
-// adds the addresses of the other nodes' records to the node's seeds, that is the
-// addresses through which the node joins the fleet.
+// readDirectory lists the records of the directory and returns them. It also adds
+// the addresses of the other nodes' records to the node's seeds, that is the addresses
+// through which the node joins the fleet.
 func (nd *Node) readDirectory(ctx context.Context) ([]plat.Object, error) {
+	var objects []plat.Object
+	_, err := nd.addSeeds(ctx, func(ctx context.Context, kind plat.Kind) ([]plat.Object, error) {
+		listed, err := nd.store.List(ctx, kind)
+		objects = listed
+		return listed, err
+	})
+	if err != nil {
+		return nil, err
+	}
+	own := slices.IndexFunc(objects, func(object plat.Object) bool { return object.Name == nd.recordName() })
+	if own < 0 {
+		nd.recordKeeper.forgetUnless("")
+	} else {
+		nd.recordKeeper.forgetUnless(objects[own].Revision)
+	}
+	return objects, nil
+}
+
+// addSeeds lists the directory with the given function and adds the addresses of the
+// other nodes to the node's seeds. It returns the number of these addresses.
+func (nd *Node) addSeeds(ctx context.Context, list func(context.Context, plat.Kind) ([]plat.Object, error)) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	objects, err := nd.store.List(ctx, plat.RecordKind)
+	objects, err := list(ctx, plat.RecordKind)
 	if err != nil {
-		return nil, err
+		return 0, err
 	}
 	var seeds []types.Address
-	var own plat.Revision
 	for _, object := range objects {
-		if object.Name == nd.recordName() {
-			own = object.Revision
-			continue
-		}
 		var wire recordWire
-		if json.Unmarshal(object.Body, &wire) == nil && wire.Address != "" {
+		if json.Unmarshal(object.Body, &wire) == nil && wire.Address != "" && object.Name != nd.recordName() {
 			seeds = append(seeds, types.Address(wire.Address))
 		}
 	}
 	nd.loop.post(fleet.SeedsFound{Addresses: seeds})
-	nd.recordKeeper.forgetUnless(own)
-	return objects, nil
+	return len(seeds), nil
 }
 
 // writeRecord creates the node's directory record, or updates it if its content
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -56,6 +56,10 @@
 			mt.count(trace.PlatformReads)
 			return st.List(ctx, kind)
 		},
+		ListCached: func(ctx context.Context, kind plat.Kind) ([]plat.Object, error) {
+			mt.count(trace.PlatformCachedReads)
+			return st.ListCached(ctx, kind)
+		},
 		Put: func(ctx context.Context, object plat.Object) (plat.Object, error) {
 			mt.count(trace.PlatformWrites)
 			return st.Put(ctx, object)
--- a/node/node.go
+++ b/node/node.go
@@ -83,8 +83,8 @@
 	// pull being served.
 	pullSlots       chan struct{}
 	bodyReadLimiter *rate.Limiter
-	recordKeeper  recordKeeper
-	departures    departureWrites
+	recordKeeper    recordKeeper
+	departures      departureWrites
 	// superseded is a context that is canceled when the node learns of another
 	// process of the same instance that started later than this one.
 	superseded context.Context
@@ -159,6 +159,7 @@
 		dropped:   func() int64 { return 0 },
 		drained:   make(chan struct{}),
 		pullSlots: make(chan struct{}, maxPulls),
+		runCtx:    context.Background(),
 
 		bodyReadLimiter: rate.NewLimiter(bodyReadsPerSecond, bodyReadsPerSecond),
 	}
--- a/node/platform.go
+++ b/node/platform.go
@@ -34,6 +34,16 @@
 	// that a node waits for a peer to send it a configuration before it reads
 	// that configuration from the platform.
 	DefaultFetchDelay = 15 * time.Second
+	// watchPausePerNode and maxWatchPause determine the wait between an event of a
+	// node's watch and its next watch request.
+	watchPausePerNode = 4 * time.Millisecond
+	maxWatchPause     = 1200 * time.Millisecond
+	// peerJoinLimit is how long a starting node waits for its peers before it reads
+	// the configuration's root object. firstJoinLimit replaces it if the whole fleet
+	// starts for the first time.
+	peerJoinLimit    = 300 * time.Millisecond
+	firstJoinLimit   = 3 * time.Second
+	peerPollInterval = 20 * time.Millisecond
 	// leaveTimeout is the deadline of deleting the directory record of a
 	// stopping node.
 	leaveTimeout = time.Second
@@ -87,6 +97,7 @@
 			}
 			if nd.offerRoot(ctx, object) {
 				pause.reset()
+				sleep(ctx, nd.watchPause())
 				return
 			}
 			// The platform was unavailable while the node fetched the
@@ -102,16 +113,28 @@
 	}
 }
 
-// pollRoot reads the configuration's root object every Settings.PollInterval on
-// average while this node is a delegate, that is one of the nodes that watch the
-// platform's store on behalf of their zone.
+// watchPause returns how long a node waits after an event of its watch before it
+// watches on. The wait grows with the fleet, so that a series of changes does not cost
+// the platform one call per change and node. In the meantime, a node learns of
+// changes from its peers.
+func (nd *Node) watchPause() time.Duration {
+	live := 0
+	nd.loop.read(func(state *core.State) { live = state.Fleet().LiveCount() })
+	return min(time.Duration(live)*watchPausePerNode, maxWatchPause)
+}
+
+// pollRoot reads the configuration's root object while this node is a delegate, that
+// is one of the nodes that watch the platform's store on behalf of their zone. All
+// delegates together read it every Settings.PollInterval on average.
 func (nd *Node) pollRoot(ctx context.Context) error {
 	if nd.settings.PollInterval <= 0 {
 		<-ctx.Done()
 		return nil
 	}
 	for ctx.Err() == nil {
-		sleep(ctx, jitter(nd.settings.PollInterval))
+		delegates := 1
+		nd.loop.read(func(state *core.State) { delegates = state.Fleet().DelegateCount() })
+		sleep(ctx, jitter(time.Duration(delegates)*nd.settings.PollInterval))
 		delegate := false
 		nd.loop.read(func(state *core.State) { delegate = state.Fleet().IsDelegate() })
 		if delegate {
@@ -175,6 +198,9 @@
 // the state machine. It then waits for Settings.FetchDelay on average, and fetches
 // the configuration from the platform if no peer has sent that version by then.
 func (nd *Node) joinFromRoot(ctx context.Context, epoch uint64) {
+	if nd.joinFromPeers(ctx) {
+		return
+	}
 	object, err := nd.waitForRoot(ctx)
 	if err != nil {
 		return
@@ -192,6 +218,28 @@
 	}
 }
 
+// joinFromPeers waits until the node has joined through its peers, and reports
+// whether it has. It gives up after peerJoinLimit, or when the peers turn out to have
+// just started as well: the platform alone then knows the latest version.
+func (nd *Node) joinFromPeers(ctx context.Context) bool {
+	limit := peerJoinLimit
+	if nd.settings.FirstStart {
+		limit = firstJoinLimit
+	}
+	for waited := time.Duration(0); waited < limit && ctx.Err() == nil; waited += peerPollInterval {
+		joined, starting := false, false
+		nd.loop.read(func(state *core.State) {
+			joined = state.Fleet().JoinedThroughPeers() || nd.settings.FirstStart && state.Fleet().Joined()
+			starting = state.Fleet().AnsweredByStarting() && !nd.settings.FirstStart
+		})
+		if joined || starting {
+			return joined
+		}
+		sleep(ctx, peerPollInterval)
+	}
+	return false
+}
+
 // waitForRoot reads the configuration's root object, with retries until the
 // platform answers. It returns an empty object if there is no root object.
 func (nd *Node) waitForRoot(ctx context.Context) (plat.Object, error) {
--- a/plat/http.go
+++ b/plat/http.go
@@ -115,7 +115,7 @@
 	for _, opt := range opts {
 		opt(cl)
 	}
-	return &Store{Get: cl.get, GetCached: cl.getCached, List: cl.list, Put: cl.put, Delete: cl.delete, Watch: cl.watch}
+	return &Store{Get: cl.get, GetCached: cl.getCached, List: cl.list, ListCached: cl.listCached, Put: cl.put, Delete: cl.delete, Watch: cl.watch}
 }
 
 func (cl *client) path(kind Kind, name string) string {
@@ -145,8 +145,18 @@
 }
 
 func (cl *client) list(ctx context.Context, kind Kind) ([]Object, error) {
+	return cl.listAt(ctx, kind, cl.path(kind, ""))
+}
+
+// listCached lists objects. The query resourceVersion=0 allows the platform to answer
+// from a cache.
+func (cl *client) listCached(ctx context.Context, kind Kind) ([]Object, error) {
+	return cl.listAt(ctx, kind, cl.path(kind, "")+"?resourceVersion=0")
+}
+
+func (cl *client) listAt(ctx context.Context, kind Kind, path string) ([]Object, error) {
 	var wire ListWire
-	if err := cl.api.Do(ctx, http.MethodGet, cl.path(kind, ""), nil, &wire); err != nil {
+	if err := cl.api.Do(ctx, http.MethodGet, path, nil, &wire); err != nil {
 		return nil, err
 	}
 	objects := make([]Object, 0, len(wire.Items))
--- a/plat/store.go
+++ b/plat/store.go
@@ -63,6 +63,10 @@
 	GetCached func(ctx context.Context, name Name) (Object, error)
 	// List reads all objects of a kind.
 	List func(ctx context.Context, kind Kind) ([]Object, error)
+	// ListCached reads all objects of a kind and lets the platform answer from a
+	// cache, which costs the platform less than List. The result may be seconds out
+	// of date.
+	ListCached func(ctx context.Context, kind Kind) ([]Object, error)
 	// Put writes an object if its revision equals that of the stored object, and
 	// returns it with its new revision. An object with an empty revision is
 	// created and must not exist yet.
