--- a/conf/valid.go
+++ b/conf/valid.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,13 +17,12 @@
 	maxPathPrefix = 1024
 	maxSpans      = 64
 	maxWeight     = 1_000_000
+	maxName       = 63
+	maxHost       = 253
 )
 
 var (
-	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
-	hostPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$`)
-	pathPattern = regexp.MustCompile(`^/[!-~]*$`)
-	methods     = types.NewSet("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE")
+	methods = types.NewSet("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE")
 )
 
 // Validate checks a configuration. It returns one error that lists everything that
@@ -67,7 +65,7 @@
 }
 
 func (c *checker) checkName(key Key) {
-	if !namePattern.MatchString(key.Name) {
+	if !isLabel(key.Name, maxName, "-") {
 		c.addFault(key, "name is not kebab case of at most 63 characters")
 	}
 	if c.seen[key] {
@@ -155,7 +153,7 @@
 	switch prefix := match.PathPrefix; {
 	case prefix != "" && !strings.HasPrefix(prefix, "/"):
 		c.addFault(key, "path-prefix must start with a slash")
-	case prefix != "" && !pathPattern.MatchString(prefix), strings.ContainsAny(prefix, "?#"), len(prefix) > maxPathPrefix:
+	case prefix != "" && !isPath(prefix), strings.ContainsAny(prefix, "?#"), len(prefix) > maxPathPrefix:
 		c.addFault(key, "path-prefix must be a path of printable characters, at most "+strconv.Itoa(maxPathPrefix))
 	}
 	for _, method := range match.Methods.Sorted() {
@@ -250,6 +248,38 @@
 }
 
 func isHost(host string) bool {
+	if isLabel(host, maxHost, ".-") {
+		return true
+	}
 	_, err := netip.ParseAddr(host)
-	return err == nil && host == strings.ToLower(host) || hostPattern.MatchString(host)
+	return err == nil && host == strings.ToLower(host)
+}
+
+// isLabel reports whether a text has at most limit characters, which are lower case
+// letters, digits and, except at its ends, characters of inner.
+func isLabel(text string, limit int, inner string) bool {
+	if text == "" || len(text) > limit {
+		return false
+	}
+	for i := range len(text) {
+		char := text[i]
+		if 'a' <= char && char <= 'z' || '0' <= char && char <= '9' {
+			continue
+		}
+		if i == 0 || i == len(text)-1 || strings.IndexByte(inner, char) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// isPath reports whether a text begins with a slash and consists of printable ASCII
+// characters without spaces.
+func isPath(text string) bool {
+	for i := range len(text) {
+		if text[i] < '!' || text[i] > '~' {
+			return false
+		}
+	}
+	return strings.HasPrefix(text, "/")
 }
--- a/core/depart_test.go
+++ b/core/depart_test.go
@@ -33,7 +33,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			check := is.New(t)
-			sn := newUnannouncedNode(t, 1, 2)
+			sn := newUnannouncedNode(t)
 			sn.announce(core.Announcement{Process: "p", Ending: true})
 			sn.now = sn.now.Add(test.wait)
 			sn.announce(core.Announcement{Process: "p", StartedAt: test.born, Service: "s0", Slots: 10, Connections: 100})
@@ -74,10 +74,10 @@
 			for _, late := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, by %s, learned after it %t", test.name, way, late), func(t *testing.T) {
 					check := is.New(t)
-					before := newUnannouncedNode(t, 1, 2)
+					before := newUnannouncedNode(t)
 					before.announce(first)
 					learned := departureEvent(t, way, before.announce(test.departs), before.state.Fleet().Self())
-					after := newUnannouncedNode(t, 1, 2)
+					after := newUnannouncedNode(t)
 					after.now = after.now.Add(2 * time.Second)
 					if late {
 						after.announce(test.after)
@@ -127,7 +127,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			check := is.New(t)
-			sn := newUnannouncedNode(t, 1, 2, core.WithRecordRead(time.Second))
+			sn := newUnannouncedNode(t, core.WithRecordRead(time.Second))
 			sn.step(core.Tick{})
 			sn.announce(announcement)
 			sn.now = sn.now.Add(test.wait)
--- a/core/policy_test.go
+++ b/core/policy_test.go
@@ -37,11 +37,11 @@
 	return sn
 }
 
-// newUnannouncedNode is like newNode, but the node's own upstream has not
-// announced itself.
-func newUnannouncedNode(tb testing.TB, services, upstreams int, opts ...core.Option) *singleNode {
+// newUnannouncedNode is like newNode, but with one service and two upstreams, and the
+// node's own upstream has not announced itself.
+func newUnannouncedNode(tb testing.TB, opts ...core.Option) *singleNode {
 	tb.Helper()
-	return newConfiguredNode(tb, services, upstreams, nil, opts...)
+	return newConfiguredNode(tb, 1, 2, nil, opts...)
 }
 
 func newConfiguredNode(tb testing.TB, services, upstreams int, rules []conf.UpstreamRule, opts ...core.Option) *singleNode {
--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -13,6 +13,9 @@
 	minPullBackoff      = 100 * time.Millisecond
 	maxPullBackoff      = 5 * time.Second
 	maxPullBackoffShift = 6
+	// watchPausePerMember and maxWatchPause determine WatchPause.
+	watchPausePerMember = 4 * time.Millisecond
+	maxWatchPause       = 1200 * time.Millisecond
 	// maxPullJitter bounds the random delay before the next source is asked.
 	maxPullJitter = 50 * time.Millisecond
 )
@@ -49,12 +52,28 @@
 		return nil
 	}
 	if version > tb.wanted.version {
-		tb.wanted = wantedVersion{version: version, pulling: tb.wanted.pulling, nextPull: now.Add(tb.pullDelay)}
+		tb.wanted = wantedVersion{version: version, pulling: tb.wanted.pulling, nextPull: now.Add(tb.pullWait())}
 	}
 	tb.wanted.addSource(source)
 	return tb.tryPull(now)
 }
 
+// WatchPause returns how long a node waits after an event of its watch on the platform
+// before it watches on. It grows with the number of members, so that a series of
+// changes does not cost the platform one call for each change and node.
+func (tb *Table) WatchPause() time.Duration {
+	return min(time.Duration(len(tb.liveSet.items))*watchPausePerMember, maxWatchPause)
+}
+
+// pullWait returns how long to wait for the node's own watch before a version is pulled
+// from a peer.
+func (tb *Table) pullWait() time.Duration {
+	if tb.pullDelay == 0 {
+		return 0
+	}
+	return tb.pullDelay + tb.WatchPause()
+}
+
 // WantVersion records the configuration version that the platform reports as
 // current. If this node does not have the version, Tick pulls it from any peer
 // that does.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -67,7 +67,8 @@
 	joining  joinState
 	wanted   wantedVersion
 	// pullDelay is the time between a peer's first report of a newer
-	// configuration version and the pull of that version.
+	// configuration version and the pull of that version, besides the node's pause
+	// in watching the platform. If it is 0, a version is pulled at once.
 	pullDelay time.Duration
 	// pendingPushes is the number of urgent exchanges to send outside the regular
 	// probe interval. Each of them takes one of the pushTokens.
--- a/node/effect.go
+++ b/node/effect.go
@@ -33,7 +33,7 @@
 // runEffect carries out one effect. It must not block, so effects that wait for
 // another node run in goroutines of their own.
 func (nd *Node) runEffect(effect types.Effect) {
-	if nd.entry.Apply(effect) || nd.owner.Apply(effect) {
+	if nd.entry.Apply(effect) || nd.owner.Apply(effect) || nd.runPlatformEffect(effect) {
 		return
 	}
 	switch ef := effect.(type) {
@@ -57,15 +57,25 @@
 		nd.applyLimits(ef.Snapshot.Limits())
 	case core.UseUpstream:
 		nd.owner.SetUpstream(ef.Process, ef.Address)
+	case core.Drained:
+		close(nd.drained)
+	}
+}
+
+// runPlatformEffect carries out an effect that calls the platform. It reports whether
+// it handles effects of this type.
+func (nd *Node) runPlatformEffect(effect types.Effect) bool {
+	switch ef := effect.(type) {
 	case core.ReadRoot:
 		nd.startRootRead(ef.Epoch)
 	case core.RecordDeparture:
 		go nd.writeDeparture(nd.runCtx, nd.departures.begin())
 	case core.WatchPlatform:
 		nd.watch.setWatching(nd, ef.On)
-	case core.Drained:
-		close(nd.drained)
+	default:
+		return false
 	}
+	return true
 }
 
 // applyLimits applies the configuration's limits on callers' requests and
--- a/node/node.go
+++ b/node/node.go
@@ -388,8 +388,10 @@
 	return view
 }
 
-func (nd *Node) bundle() conf.Bundle {
-	var bundle conf.Bundle
-	nd.loop.read(func(state *core.State) { bundle = state.Config().Current().Bundle() })
-	return bundle
+func (nd *Node) snapshot() conf.Snapshot {
+	var snapshot conf.Snapshot
+	nd.loop.read(func(state *core.State) { snapshot = state.Config().Current() })
+	return snapshot
 }
+
+func (nd *Node) bundle() conf.Bundle { return nd.snapshot().Bundle() }
--- a/node/platform.go
+++ b/node/platform.go
@@ -34,10 +34,6 @@
 	// that a node waits for a peer to send it a configuration before it reads
 	// that configuration from the platform.
 	DefaultFetchDelay = 15 * time.Second
-	// watchPausePerNode and maxWatchPause determine the wait between an event of a
-	// node's watch and its next watch request.
-	watchPausePerNode = 4 * time.Millisecond
-	maxWatchPause     = 1200 * time.Millisecond
 	// peerJoinLimit is how long a starting node waits for its peers before it reads
 	// the configuration's root object. firstJoinLimit replaces it if the whole fleet
 	// starts for the first time.
@@ -113,14 +109,12 @@
 	}
 }
 
-// watchPause returns how long a node waits after an event of its watch before it
-// watches on. The wait grows with the fleet, so that a series of changes does not cost
-// the platform one call per change and node. In the meantime, a node learns of
-// changes from its peers.
+// watchPause returns how long the node waits after an event of its watch before it
+// watches on. In the meantime, it learns of changes from its peers.
 func (nd *Node) watchPause() time.Duration {
-	live := 0
-	nd.loop.read(func(state *core.State) { live = state.Fleet().LiveCount() })
-	return min(time.Duration(live)*watchPausePerNode, maxWatchPause)
+	var pause time.Duration
+	nd.loop.read(func(state *core.State) { pause = state.Fleet().WatchPause() })
+	return pause
 }
 
 // pollRoot reads the configuration's root object while this node is a delegate, that
@@ -178,13 +172,13 @@
 	if err != nil {
 		return conf.Snapshot{}, err
 	}
-	return nd.source.Decode(bundle)
+	return nd.source.Decode(bundle, nd.snapshot())
 }
 
 // offerFromPeer decodes a configuration that a peer sent and offers it to the
 // state machine.
 func (nd *Node) offerFromPeer(bundle conf.Bundle, version types.Version) {
-	snap, err := nd.source.Decode(bundle)
+	snap, err := nd.source.Decode(bundle, nd.snapshot())
 	nd.loop.post(conf.VersionOffered{Snapshot: snap, Version: version, Err: fault.From(err)})
 }
 
--- a/node/source.go
+++ b/node/source.go
@@ -21,8 +21,9 @@
 	// bundle that the node already has; Fetch reads from the store only what is
 	// missing from held.
 	Fetch func(ctx context.Context, store *plat.Store, body []byte, held conf.Bundle) (conf.Bundle, error)
-	// Decode decodes and validates a bundle.
-	Decode func(bundle conf.Bundle) (conf.Snapshot, error)
+	// Decode decodes and validates a bundle. held is the snapshot that the node
+	// already has, of which Decode may reuse what has not changed.
+	Decode func(bundle conf.Bundle, held conf.Snapshot) (conf.Snapshot, error)
 }
 
 // RootSource returns the default source: the root object, which is updated when
@@ -35,6 +36,6 @@
 			return root.Version, err
 		},
 		Fetch:  admin.FetchBundle,
-		Decode: codec.DecodeBundle,
+		Decode: func(bundle conf.Bundle, _ conf.Snapshot) (conf.Snapshot, error) { return codec.DecodeBundle(bundle) },
 	}
 }
