Keep work near while an upstream has a free slot

An entry left its zone when a near upstream was busy to 0.7 of its slots, or expected to take half of the aim, although a free slot there serves at once. Change: near upstreams are preferred up to all of their slots and to 0.75 of the aim.

--- a/route/near.go
+++ b/route/near.go
@@ -5,10 +5,10 @@
 const (
 	// A near upstream is preferred if the expected duration of the attempt is at
 	// most nearShare of the target latency.
-	nearShare = 0.5
+	nearShare = 0.75
 	// A near upstream is preferred up to this utilization of its slots. Above it,
 	// balancing the load over all zones matters more.
-	nearUtilization = 0.7
+	nearUtilization = 1.0
 	// largeAnswer is the size in bytes from which an answer counts as large.
 	// For large answers, the traffic between zones matters most, so near
 	// upstreams are preferred up to the higher limits below.
