Tell the platform's eras apart

Cause: the platform may come back from a copy some seconds old. Revisions are then given out again, so a write whose condition was read before could land on another state of the object, a watch could pass over a change, and a node's record, with its departure, could be gone for good. Ruled out: comparing revisions by size (they are given out again). Left: the product's own root, packs and keys are not restored; the product's own dialect states and reads the era but its revisions do not carry it; status does not show it; no model test.

--- a/node/directory.go
+++ b/node/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -57,6 +58,21 @@
 	revision plat.Revision
 	// body is the record's body as last written.
 	body string
+	// era is the platform's era in which the record was last read or written.
+	era plat.Era
+}
+
+// forgetBefore makes the node write its record again if the platform has come back from
+// an older copy, which may lack the record. It reports whether that is so.
+func (rk *recordKeeper) forgetBefore(era plat.Era) bool {
+	rk.mu.Lock()
+	defer rk.mu.Unlock()
+	if rk.era == era {
+		return false
+	}
+	lost := rk.revision != ""
+	rk.era, rk.revision = era, ""
+	return lost
 }
 
 // forgetUnless makes the node write its record again, unless the directory has the
@@ -111,6 +127,9 @@
 	}
 	for ctx.Err() == nil {
 		var err error
+		if nd.recordKeeper.forgetBefore(nd.store.Era()) {
+			nd.recordEvent(trace.Event{Kind: trace.PlatformRestored, Subject: nd.settings.Instance, Detail: fmt.Sprintf("era %d", nd.store.Era())})
+		}
 		if !ownRead {
 			err = nd.readRecord(ctx)
 			ownRead = err == nil
@@ -200,7 +219,7 @@
 	}
 	var wire recordWire
 	if err == nil && json.Unmarshal(found.Body, &wire) == nil {
-		nd.recordKeeper.revision, nd.recordKeeper.body = found.Revision, string(found.Body)
+		nd.recordKeeper.revision, nd.recordKeeper.body, nd.recordKeeper.era = found.Revision, string(found.Body), found.Revision.Era()
 	}
 	nd.loop.post(core.RecordRead{Departure: wire.Departure.departure()})
 	return nil
@@ -314,7 +333,7 @@
 	}
 	stored, err := nd.store.Put(ctx, plat.Object{Name: nd.recordName(), Revision: revision, Body: body})
 	if err == nil {
-		keeper.revision, keeper.body = stored.Revision, string(body)
+		keeper.revision, keeper.body, keeper.era = stored.Revision, string(body), stored.Revision.Era()
 	}
 	return err
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -73,6 +73,7 @@
 			mt.count(trace.PlatformWatches)
 			return st.Watch(ctx, name, seen)
 		},
+		Era: st.Era,
 	}
 }
 
--- a/plat/http.go
+++ b/plat/http.go
@@ -59,6 +59,7 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	era     eraClock
 }
 
 // NewAPIClient returns an APIClient for the API at a base URL.
@@ -67,6 +68,7 @@
 	return &APIClient{
 		base:    base,
 		timeout: defaultTimeout,
+		era:     eraClock{header: EraHeader},
 		http:    &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxReplyHead}},
 	}
 }
@@ -85,6 +87,7 @@
 	if err != nil {
 		return err
 	}
+	era := ac.era.observe(reply.Header)
 	defer func() { _ = reply.Body.Close() }()
 	if reply.StatusCode >= http.StatusMultipleChoices {
 		return statusError(reply, method, path)
@@ -96,6 +99,9 @@
 	if err != nil {
 		return fault.Wrap(fault.PlatformUnavailable, err, "decode the platform's reply").WithOutcome(outcomeOf(method))
 	}
+	if stamped, ok := output.(interface{ stamp(era Era) }); ok {
+		stamped.stamp(era)
+	}
 	return nil
 }
 
@@ -116,7 +122,7 @@
 	for _, opt := range opts {
 		opt(cl)
 	}
-	return &Store{Get: cl.get, GetCached: cl.getCached, List: cl.list, ListCached: cl.listCached, Put: cl.put, Delete: cl.delete, Watch: cl.watch}
+	return &Store{Get: cl.get, GetCached: cl.getCached, List: cl.list, ListCached: cl.listCached, Put: cl.put, Delete: cl.delete, Watch: cl.watch, Era: cl.api.Era}
 }
 
 func (cl *client) path(kind Kind, name string) string {
--- a/plat/memory.go
+++ b/plat/memory.go
@@ -26,7 +26,7 @@
 
 // Store returns the operations of m as a Store.
 func (m *Memory) Store() *Store {
-	return &Store{Get: m.Get, GetCached: m.Get, List: m.List, ListCached: m.List, Put: m.Put, Delete: m.Delete, Watch: m.Watch}
+	return &Store{Get: m.Get, GetCached: m.Get, List: m.List, ListCached: m.List, Put: m.Put, Delete: m.Delete, Watch: m.Watch, Era: func() Era { return 0 }}
 }
 
 // Get reads one object.
--- a/plat/store.go
+++ b/plat/store.go
@@ -78,4 +78,6 @@
 	// context ends or the platform can't be reached. If the platform sends
 	// nothing for some time, Watch opens a new connection and continues.
 	Watch func(ctx context.Context, name Name, onChange func(Object)) error
+	// Era returns the platform's era, as far as its replies have stated it.
+	Era func() Era
 }
--- a/trace/event.go
+++ b/trace/event.go
@@ -45,6 +45,7 @@
 	CertsRefused
 	AnnouncementIgnored
 	DepartureUnrecorded
+	PlatformRestored
 	RetryDenied
 	SettingsReloaded
 	SettingsRefused
@@ -78,6 +79,7 @@
 
 	AnnouncementIgnored: "announcement-ignored",
 	DepartureUnrecorded: "departure-unrecorded",
+	PlatformRestored:    "platform-restored",
 	RetryDenied:         "retry-denied",
 	SettingsReloaded:    "settings-reloaded",
 	SettingsRefused:     "settings-refused",
