Guard requests after a body of many chunks

Cause: the lines between chunks counted toward the 2 MiB after which the guard stopped checking for the rest of the connection. Change: each line between chunks counts on its own, and a head, a line or trailers above the bound are refused with 400 and the connection closes, in place of no more checks. Ruled out: leaving heads above the bound to the HTTP server; its limit follows the configuration, which sets no upper bound. TestGuardAfterManyChunks failed before and passes.

--- a/proxy/guard.go
+++ b/proxy/guard.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxGuardedHead is the size in bytes of a request head above which the guard
-	// stops checking, because the HTTP server refuses the request itself.
+	// maxGuardedHead is the size in bytes of a request's head, of its trailers and of
+	// a line between two chunks above which the guard refuses the request.
 	maxGuardedHead = 2 << 20
 	hexBase        = 16
 )
@@ -105,8 +105,8 @@
 	line []byte
 	// lines is the number of non-empty lines read so far in the current head.
 	// size is the number of bytes read so far in the lines of the current head.
-	// After the head, size counts the bytes of the lines that delimit the chunks
-	// of the body, and of the trailers.
+	// After the head, size counts the bytes of the current line between two chunks
+	// of the body, and of all trailers.
 	lines, size int
 	// length is the value of Content-Length.
 	length    int64
@@ -116,8 +116,9 @@
 }
 
 // scan processes the next bytes of the stream. It returns false when it reaches
-// the end of a head with both Content-Length and Transfer-Encoding, together with
-// the offset in data at which that head begins, or 0 if it began in earlier data.
+// the end of a head with both Content-Length and Transfer-Encoding, or of more than
+// maxGuardedHead bytes, together with the offset in data at which that head begins, or
+// 0 if it began in earlier data.
 func (fp *framingParser) scan(data []byte) (int, bool) {
 	begin := 0
 	for at := 0; at < len(data); {
@@ -137,10 +138,11 @@
 		}
 		end := bytes.IndexByte(data[at:], '\n')
 		if end < 0 {
-			fp.appendToLine(data[at:])
-			return 0, true
+			return begin, fp.appendToLine(data[at:])
+		}
+		if !fp.appendToLine(data[at : at+end]) {
+			return begin, false
 		}
-		fp.appendToLine(data[at : at+end])
 		at += end + 1
 		line := string(bytes.TrimSuffix(fp.line, []byte("\r")))
 		fp.line = fp.line[:0]
@@ -155,16 +157,15 @@
 	return 0, true
 }
 
-// appendToLine adds a part to the current line. It stops the checks once size is
-// above maxGuardedHead.
-func (fp *framingParser) appendToLine(part []byte) {
+// appendToLine adds a part to the current line. It returns false once size is above
+// maxGuardedHead.
+func (fp *framingParser) appendToLine(part []byte) bool {
 	fp.size += len(part)
 	if fp.size > maxGuardedHead {
-		fp.stage = passThrough
-		fp.line = nil
-		return
+		return false
 	}
 	fp.line = append(fp.line, part...)
+	return true
 }
 
 // endSection moves to the next stage at the end of a body or a chunk.
@@ -183,6 +184,7 @@
 	case inHead:
 		return fp.consumeHeadLine(line)
 	case inChunkSize:
+		fp.size = 0
 		text, _, _ := strings.Cut(line, ";")
 		size, err := strconv.ParseInt(strings.TrimSpace(text), hexBase, 64)
 		switch {
@@ -194,7 +196,7 @@
 			fp.stage, fp.remaining = inChunk, size
 		}
 	case inChunkEnd:
-		fp.stage = inChunkSize
+		fp.stage, fp.size = inChunkSize, 0
 	case inTrailer:
 		if line == "" {
 			*fp = framingParser{line: fp.line}
--- a/proxy/guard_test.go
+++ b/proxy/guard_test.go
@@ -81,3 +81,24 @@
 	defer mu.Unlock()
 	return seen.String() + statuses.String()
 }
+
+// TestGuardAfterManyChunks checks that the guard still refuses a request on a connection
+// after a body of very many small chunks, and that it refuses a line or a head without
+// end.
+func TestGuardAfterManyChunks(t *testing.T) {
+	const (
+		chunks   = 750_000
+		head     = "POST /a HTTP/1.1\r\nHost: x\r\n"
+		smuggled = "POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n"
+	)
+	is := is.New(t)
+	body := strings.Repeat("1\r\nx\r\n", chunks) + "0\r\n\r\n"
+	sent := head + "Transfer-Encoding: chunked\r\n\r\n" + body + smuggled
+	got := sendThroughGuard(t, sent, 64<<10)
+	is.True(strings.HasSuffix(got, "x\n200\n400\nclosed"))
+	is.True(!strings.Contains(got, "/b"))
+	endless := strings.Repeat("y", 3<<20)
+	is.True(strings.HasSuffix(sendThroughGuard(t, head+"X: "+endless, 64<<10), "closed"))
+	got = sendThroughGuard(t, head+"Transfer-Encoding: chunked\r\n\r\n1;"+endless+"\r\n"+smuggled, 64<<10)
+	is.True(!strings.Contains(got, "/b"))
+}
