Leave out what the headers between nodes need not say

Cause: bytes between zones; each reply of an owner carried a date, a guessed content type and four load figures that are 0 most of the time, about 200 bytes beside a mean answer of 1,500. Change: figures that are 0 are left out (they count as 0 when missing, as before), and net/http adds neither date nor content type; the entry adds both for the caller as before. Ruled out: one coded header each way (saves about 800 bytes a call, but old and new nodes could not forward to each other during an update). Not measured on its own.

--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -304,11 +304,13 @@
 	}
 	header.Set(HeaderRequestID, string(request))
 	header.Set(headerVerdict, result.Verdict.String())
-	header.Set(headerOutstanding, strconv.Itoa(result.Load.Outstanding))
-	header.Set(headerQueued, strconv.Itoa(result.Load.Queued))
-	header.Set(headerLinkWait, formatMicros(result.Load.LinkWait))
-	header.Set(headerFaultShare, strconv.FormatFloat(result.Load.FaultShare, 'f', 3, 64))
+	writeLoad(header, result.Load)
 	header.Set(headerAtOwner, formatMicros(result.AtOwner))
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := header[name]; !ok {
+			header[name] = nil // keeps net/http from adding one
+		}
+	}
 	body := result.Response.Body
 	if result.Err != nil {
 		body = []byte(result.Err.Message)
@@ -373,6 +375,23 @@
 	return result, nil
 }
 
+// writeLoad writes the load of the owner's upstream to the headers of a reply. Values
+// that are 0 are left out.
+func writeLoad(header http.Header, load route.Load) {
+	if load.Outstanding > 0 {
+		header.Set(headerOutstanding, strconv.Itoa(load.Outstanding))
+	}
+	if load.Queued > 0 {
+		header.Set(headerQueued, strconv.Itoa(load.Queued))
+	}
+	if load.LinkWait > 0 {
+		header.Set(headerLinkWait, formatMicros(load.LinkWait))
+	}
+	if load.FaultShare > 0 {
+		header.Set(headerFaultShare, strconv.FormatFloat(load.FaultShare, 'f', 3, 64))
+	}
+}
+
 // parseLoad reads the load of an owner's upstream from the headers of a reply.
 // Values that are missing or invalid count as 0.
 func parseLoad(header http.Header) route.Load {
