Offer a call that misses its aim only to owners that may be free

Change: once refused, a call that can no longer meet its soft deadline is offered only to owners that have not just reported that all slots are taken (a report of the last 300 ms). It gets its refusal, with the time to come back, after the first such answer in place of the sixth.

--- a/core/entry.go
+++ b/core/entry.go
@@ -83,15 +83,21 @@
 }
 
 // pick chooses the upstream of a call's next attempt among the live owners that
-// were not tried yet and would not close before the work ends.
+// were not tried yet and would not close before the work ends. A call that can no
+// longer meet its soft deadline yields to work that can, wherever such work waits. Once
+// it was refused, it is therefore only offered to owners that may have a free slot.
 func (st *State) pick(call flow.Call, tried types.Set[types.InstanceID], now time.Time) (route.Candidate, bool) {
 	typicalDuration := st.balancer.TypicalDuration(call.Route.Name)
+	onlyFree := tried.Len() > 0 && !call.SoftDeadline.IsZero() && now.Add(typicalDuration).After(call.SoftDeadline)
 	candidates := st.candidates[:0]
 	for _, owner := range st.fleet.ServiceOwners(call.Route.Service) {
 		effective := st.effectiveRule(owner, now)
 		if !tried.Has(owner.ID) && effective.admits(typicalDuration, now) {
 			candidate := st.newCandidate(owner, effective)
 			candidate.TargetLatency = call.Route.TargetLatency
+			if onlyFree && st.balancer.KnownFull(candidate, now) {
+				continue
+			}
 			candidates = append(candidates, candidate)
 		}
 	}
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -67,7 +67,9 @@
 	defaultDuration = 10 * time.Millisecond
 	// stateExpiry is how long the observations of an upstream are kept after
 	// its last attempt.
-	stateExpiry   = time.Minute
+	stateExpiry = time.Minute
+	// fullReportAge is the age up to which a report of no free slot is believed.
+	fullReportAge = 300 * time.Millisecond
 	sweepInterval = 10 * time.Second
 )
 
@@ -175,6 +177,13 @@
 	return b.policy.Choose(b.scores, b.source)
 }
 
+// KnownFull reports whether a candidate has no free slot, as far as a recent report of
+// its owner node and the attempts since then tell.
+func (b *Balancer) KnownFull(candidate Candidate, now time.Time) bool {
+	state, ok := b.states[candidate.ID]
+	return ok && now.Sub(state.LoadReportedAt) < fullReportAge && state.ahead(now) >= max(candidate.Slots, 1)
+}
+
 // AttemptStarted records that an attempt was sent to an upstream.
 func (b *Balancer) AttemptStarted(target Candidate, now time.Time) {
 	state := b.state(target.ID)
