--- a/fleet/delegate.go
+++ b/fleet/delegate.go
@@ -34,22 +34,6 @@
 	return tb.delegate
 }
 
-// DelegateCount returns the number of delegates in all zones of which this node
-// knows an alive node.
-func (tb *Table) DelegateCount() int {
-	zones := map[types.Zone]int{tb.self.Zone: 1}
-	for _, rc := range tb.liveSet.items {
-		if rc.member.Status == Alive {
-			zones[rc.member.Zone]++
-		}
-	}
-	count := 0
-	for _, members := range zones {
-		count += min(members, tb.delegatesPerZone)
-	}
-	return count
-}
-
 // updateSettled updates whether the view has stopped growing quickly. A node
 // whose view has not settled is not a delegate: right after a start a node
 // knows few peers, so all nodes that started at the same time would elect
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -182,3 +183,24 @@
 		})
 	}
 }
+
+// TestSeriesOfVersionsDoesNotPutOffPull checks that a node whose own watch delivers
+// nothing pulls a version within the pull delay of the first report, although peers
+// report newer versions all the while.
+func TestSeriesOfVersionsDoesNotPutOffPull(t *testing.T) {
+	check := is.New(t)
+	const delay = 250 * time.Millisecond
+	table := fleet.NewTable(fleet.Member{ID: "self", StartedAt: epoch}, rand.New(rand.NewPCG(1, 1)), fleet.WithPullDelay(delay))
+	peer := fleet.Member{ID: "peer", Address: "peer:1", Status: fleet.Alive, StartedAt: epoch, Incarnation: 1}
+	pulledAt := time.Duration(0)
+	for since := time.Duration(0); since < 4*delay && pulledAt == 0; since += delay / 5 {
+		version := types.Version(1 + since/time.Millisecond)
+		message := fleet.Message{From: "peer", Incarnation: 1, Version: version, Members: []fleet.Member{peer}}
+		for _, effect := range table.HandleExchangeReceived(fleet.ExchangeReceived{Message: message}, epoch.Add(since)) {
+			if _, ok := effect.(fleet.PullConfig); ok {
+				pulledAt = since
+			}
+		}
+	}
+	check.True(pulledAt > 0 && pulledAt <= delay+delay/5)
+}
--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -52,7 +52,7 @@
 		return nil
 	}
 	if version > tb.wanted.version {
-		tb.wanted = wantedVersion{version: version, pulling: tb.wanted.pulling, nextPull: now.Add(tb.pullWait())}
+		tb.wanted = wantedVersion{version: version, pulling: tb.wanted.pulling, nextPull: tb.nextPull(now)}
 	}
 	tb.wanted.addSource(source)
 	return tb.tryPull(now)
@@ -74,6 +74,16 @@
 	return tb.pullDelay + tb.WatchPause()
 }
 
+// nextPull returns when to pull a version that was first reported now. A series of
+// versions does not put off the pull that is due for an earlier one of them.
+func (tb *Table) nextPull(now time.Time) time.Time {
+	due := now.Add(tb.pullWait())
+	if tb.wanted.version > tb.version && tb.wanted.nextPull.Before(due) {
+		return tb.wanted.nextPull
+	}
+	return due
+}
+
 // WantVersion records the configuration version that the platform reports as
 // current. If this node does not have the version, Tick pulls it from any peer
 // that does.
--- a/node/platform.go
+++ b/node/platform.go
@@ -117,18 +117,17 @@
 	return pause
 }
 
-// pollRoot reads the configuration's root object while this node is a delegate, that
-// is one of the nodes that watch the platform's store on behalf of their zone. All
-// delegates together read it every Settings.PollInterval on average.
+// pollRoot reads the configuration's root object every Settings.PollInterval on
+// average while this node is a delegate, that is one of the nodes that watch the
+// platform's store on behalf of their zone. The delegates do not share the reads, since
+// most of them may be cut off from the platform.
 func (nd *Node) pollRoot(ctx context.Context) error {
 	if nd.settings.PollInterval <= 0 {
 		<-ctx.Done()
 		return nil
 	}
 	for ctx.Err() == nil {
-		delegates := 1
-		nd.loop.read(func(state *core.State) { delegates = state.Fleet().DelegateCount() })
-		sleep(ctx, jitter(time.Duration(delegates)*nd.settings.PollInterval))
+		sleep(ctx, jitter(nd.settings.PollInterval))
 		delegate := false
 		nd.loop.read(func(state *core.State) { delegate = state.Fleet().IsDelegate() })
 		if delegate {
--- a/node/settings.go
+++ b/node/settings.go
@@ -56,9 +56,9 @@
 	StartJitter time.Duration
 	FetchDelay  time.Duration
 	// PollInterval is the average time between two reads of the configuration's
-	// root object by all delegates together, which are the nodes that watch that
-	// object on behalf of their zones. The reads supplement the watch, whose events
-	// may be late. If PollInterval is 0, a delegate only watches.
+	// root object by a delegate, which is a node that watches that object on
+	// behalf of its zone. The reads supplement the watch, whose events may be
+	// late. If PollInterval is 0, a delegate only watches.
 	PollInterval time.Duration
 	// FirstStart is true if the whole fleet starts for the first time. The platform
 	// then has no earlier record of this node, and no configuration was in force
