--- a/core/hours.go
+++ b/core/hours.go
@@ -37,14 +37,13 @@
 // effectiveRule returns the rule for a member's upstream, from the cache if the
 // cached evaluation is fresh.
 func (st *State) effectiveRule(member fleet.Member, now time.Time) effectiveRule {
-	current := st.config.Current()
-	if st.rules.version != current.Version() || st.rules.byScope == nil {
-		st.rules = ruleCache{version: current.Version(), byScope: map[ruleScope]effectiveRule{}}
+	if version := st.config.Current().Version(); st.rules.version != version || st.rules.byScope == nil {
+		st.rules = ruleCache{version: version, byScope: map[ruleScope]effectiveRule{}}
 	}
 	scope := ruleScope{service: member.Service, zone: member.Zone}
 	cached, ok := st.rules.byScope[scope]
 	if !ok || !cached.isFresh(now) {
-		cached = evaluateRule(current, scope, now)
+		cached = evaluateRule(st.config.Current(), scope, now)
 		st.rules.byScope[scope] = cached
 	}
 	return cached
--- a/core/policy_test.go
+++ b/core/policy_test.go
@@ -266,3 +266,17 @@
 		})
 	}
 }
+
+// BenchmarkPickOfMany measures the decisions of an entry node for one call to a service
+// with many owners.
+func BenchmarkPickOfMany(b *testing.B) {
+	const owners = 132
+	sn := newNode(b, 1, owners)
+	id := types.CallID(0)
+	for b.Loop() {
+		id++
+		sn.now = sn.now.Add(5 * time.Millisecond)
+		sn.step(flow.CallArrived{Call: id, Request: "r", Target: route.Request{Method: "GET", Path: "/s0/7"}})
+		sn.step(flow.AttemptEnded{Call: id, Attempt: 1, Verdict: flow.Answered, Elapsed: time.Millisecond})
+	}
+}
--- a/route/eject.go
+++ b/route/eject.go
@@ -48,8 +48,8 @@
 // fail alike, the cause is not one upstream but the requests or a dependency
 // that the upstreams share.
 func subtractMedians(ratings []Rating) {
-	slowness := lowerMedian(ratings, func(rating Rating) float64 { return rating.Slowness })
-	faultShare := lowerMedian(ratings, func(rating Rating) float64 { return rating.ExcessFaultShare })
+	slowness := lowerMedian(ratings, func(rating *Rating) float64 { return rating.Slowness })
+	faultShare := lowerMedian(ratings, func(rating *Rating) float64 { return rating.ExcessFaultShare })
 	for i := range ratings {
 		ratings[i].Slowness -= slowness
 		ratings[i].ExcessFaultShare = math.Max(0, ratings[i].ExcessFaultShare-faultShare)
@@ -57,11 +57,11 @@
 }
 
 // lowerMedian returns the lower median of a value over all ratings.
-func lowerMedian(ratings []Rating, value func(Rating) float64) float64 {
+func lowerMedian(ratings []Rating, value func(*Rating) float64) float64 {
 	var buffer [maxStackCandidates]float64
 	values := buffer[:0]
-	for _, rating := range ratings {
-		values = append(values, value(rating))
+	for i := range ratings {
+		values = append(values, value(&ratings[i]))
 	}
 	slices.Sort(values)
 	return values[(len(values)-1)/2]
--- a/route/policy.go
+++ b/route/policy.go
@@ -64,7 +64,10 @@
 // failure.
 func expectedDuration(rating Rating) float64 {
 	utilization := rating.utilization()
-	serviceTime := float64(rating.TypicalDuration) * math.Exp(rating.scoredSlowness())
+	serviceTime := float64(rating.TypicalDuration)
+	if slowness := rating.scoredSlowness(); slowness != 0 {
+		serviceTime *= math.Exp(slowness)
+	}
 	penalty := time.Duration(0)
 	if !rating.Candidate.Local {
 		penalty += hopPenalty
--- a/route/state.go
+++ b/route/state.go
@@ -187,7 +187,7 @@
 // if this raises the average. After the first such attempt, each further one
 // counts with minWeight.
 func (s *UpstreamState) slowness(typical func(types.RouteName) time.Duration, now time.Time) float64 {
-	average, weight := s.decayedLogRatio(now), s.weight(now)
+	average, weight := s.decayedLogRatio(now), 0.0
 	for _, attempt := range s.pending {
 		expected := typical(attempt.route)
 		age := now.Sub(attempt.start)
@@ -195,6 +195,9 @@
 			continue
 		}
 		if ratio := logRatio(age, expected); ratio > average {
+			if weight == 0 {
+				weight = s.weight(now)
+			}
 			average += weight * (ratio - average)
 			weight = minWeight
 		}
