--- a/node/directory.go
+++ b/node/directory.go
@@ -62,6 +62,17 @@
 	era plat.Era
 }
 
+// lock locks mu, unless ctx ends first. It reports whether mu is locked.
+func (rk *recordKeeper) lock(ctx context.Context) bool {
+	for !rk.mu.TryLock() {
+		if ctx.Err() != nil {
+			return false
+		}
+		sleep(ctx, peerPollInterval)
+	}
+	return true
+}
+
 // forgetBefore makes the node write its record again if the platform has come back from
 // an older copy, which may lack the record. It reports whether that is so.
 func (rk *recordKeeper) forgetBefore(era plat.Era) bool {
@@ -339,14 +350,16 @@
 }
 
 // leave deletes the node's directory record, unless another process of the same
-// instance has overwritten it. It then waits for leaveDelay.
+// instance has overwritten it. It then waits for leaveDelay. A write of the record that
+// the platform does not answer holds the stop up for at most leaveTimeout.
 func (nd *Node) leave(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	nd.recordKeeper.mu.Lock()
-	defer nd.recordKeeper.mu.Unlock()
-	if revision := nd.recordKeeper.revision; revision != "" {
-		_ = nd.store.Delete(call, plat.Object{Name: nd.recordName(), Revision: revision})
+	if nd.recordKeeper.lock(call) {
+		if revision := nd.recordKeeper.revision; revision != "" {
+			_ = nd.store.Delete(call, plat.Object{Name: nd.recordName(), Revision: revision})
+		}
+		nd.recordKeeper.mu.Unlock()
 	}
 	sleep(ctx, leaveDelay)
 }
--- a/node/directory_test.go
+++ b/node/directory_test.go
@@ -76,6 +76,27 @@
 	is.Equal(len(records(is, store)), 0)
 }
 
+// TestUnansweredWriteDoesNotHoldUpLeave checks that a node leaves although a write of
+// its record waits for a platform that does not answer.
+func TestUnansweredWriteDoesNotHoldUpLeave(t *testing.T) {
+	is := is.New(t)
+	store := plat.NewMemory().Store()
+	nd := testNode(is, store, "a")
+	release := make(chan struct{})
+	writing := make(chan struct{})
+	nd.store.Put = func(context.Context, plat.Object) (plat.Object, error) {
+		close(writing)
+		<-release
+		return plat.Object{}, nil
+	}
+	written := make(chan error)
+	go func() { written <- nd.writeRecord(context.Background()) }()
+	<-writing
+	nd.leave(context.Background())
+	close(release)
+	is.NoErr(<-written)
+}
+
 func TestPullsServedAtOnceAreBounded(t *testing.T) {
 	is := is.New(t)
 	nd := testNode(is, plat.NewMemory().Store(), "a")
