Log where a version came from and a delegate's failed read

The logs could not tell the hypotheses of the late version apart: config-adopted did not say where a version came from, and a failed read of a delegate was dropped. Now config-adopted names the platform or the peer, and a delegate's first failed read and the next good one are platform-failed and platform-regained, as those of a watch.

--- a/conf/active.go
+++ b/conf/active.go
@@ -21,7 +21,21 @@
 	// FromPlatform is true if the configuration is the one that the platform
 	// currently stores.
 	FromPlatform bool
-	Err          *fault.Error
+	// Peer is the node that sent the configuration, or empty if none did.
+	Peer types.InstanceID
+	Err  *fault.Error
+}
+
+// Origin describes where the configuration came from, for the timeline.
+func (o VersionOffered) Origin() string {
+	switch {
+	case o.FromPlatform:
+		return "from the platform"
+	case o.Peer != "":
+		return "from " + string(o.Peer)
+	default:
+		return ""
+	}
 }
 
 // Event implements types.Event.
--- a/core/state.go
+++ b/core/state.go
@@ -236,7 +236,7 @@
 			st.calls.Prune(ef.Snapshot)
 			st.splitter.Prune(ef.Snapshot)
 			st.fleet.SetVersion(ef.Snapshot.Version(), ef.Snapshot.Digest())
-			events = append(events, trace.Event{Kind: trace.ConfigAdopted, Version: ef.Snapshot.Version()})
+			events = append(events, trace.Event{Kind: trace.ConfigAdopted, Version: ef.Snapshot.Version(), Detail: offer.Origin()})
 			events = append(events, st.refreshUpstream(now)...)
 		case conf.VersionRefused:
 			events = append(events, trace.Event{Kind: trace.ConfigRefused, Version: ef.Version, Detail: ef.Err.Error()})
--- a/node/effect.go
+++ b/node/effect.go
@@ -147,7 +147,7 @@
 	nd.metrics.count(trace.ConfigPulls)
 	bundle, err := nd.peers.Pull(ctx, effect.Address, nd.bundle())
 	if err == nil {
-		nd.offerFromPeer(bundle, effect.Version)
+		nd.offerFromPeer(bundle, effect.Version, effect.Peer)
 	}
 }
 
--- a/node/handler.go
+++ b/node/handler.go
@@ -59,7 +59,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(nd.runCtx, platformTimeout)
 		defer cancel()
-		nd.readRoot(ctx)
+		nd.recordReach(false, nd.readRoot(ctx))
 	}()
 }
 
--- a/node/platform.go
+++ b/node/platform.go
@@ -126,17 +126,32 @@
 		<-ctx.Done()
 		return nil
 	}
+	lost := false
 	for ctx.Err() == nil {
 		sleep(ctx, jitter(nd.settings.PollInterval))
 		delegate := false
 		nd.loop.read(func(state *core.State) { delegate = state.Fleet().IsDelegate() })
 		if delegate {
-			nd.readRoot(ctx)
+			lost = nd.recordReach(lost, nd.readRoot(ctx))
 		}
 	}
 	return nil
 }
 
+// recordReach records an event if a delegate's read of the root object failed and lost
+// is false, or if the read succeeded and lost is true. It returns whether the read
+// failed.
+func (nd *Node) recordReach(lost bool, err error) bool {
+	switch failed := err != nil; {
+	case failed == lost:
+	case failed:
+		nd.recordEvent(trace.Event{Kind: trace.PlatformFailed, Detail: "read: " + fault.From(err).Error()})
+	default:
+		nd.recordEvent(trace.Event{Kind: trace.PlatformRecovered, Subject: nd.settings.Instance, Detail: "read"})
+	}
+	return err != nil
+}
+
 // offerRoot fetches the configuration that a root object describes and offers
 // it to the state machine. It returns false if the platform was unavailable; the
 // root object must then be read again.
@@ -176,9 +191,9 @@
 
 // offerFromPeer decodes a configuration that a peer sent and offers it to the
 // state machine.
-func (nd *Node) offerFromPeer(bundle conf.Bundle, version types.Version) {
+func (nd *Node) offerFromPeer(bundle conf.Bundle, version types.Version, peer types.InstanceID) {
 	snap, err := nd.source.Decode(bundle, nd.snapshot())
-	nd.loop.post(conf.VersionOffered{Snapshot: snap, Version: version, Err: fault.From(err)})
+	nd.loop.post(conf.VersionOffered{Snapshot: snap, Version: version, Peer: peer, Err: fault.From(err)})
 }
 
 // startRootRead starts reading the configuration's root object in the
@@ -251,11 +266,15 @@
 
 // readRoot reads the configuration's root object once and offers the
 // configuration to the state machine.
-func (nd *Node) readRoot(ctx context.Context) {
+func (nd *Node) readRoot(ctx context.Context) error {
 	object, err := nd.store.Get(ctx, nd.source.Name)
+	if fault.Is(err, fault.NotFound) {
+		return nil
+	}
 	if err == nil {
 		nd.offerRoot(ctx, object)
 	}
+	return err
 }
 
 func sleep(ctx context.Context, wait time.Duration) {
