Let a delegate that the platform does not answer step down

What callers saw: a route that a confirmed version had added was answered with 404 for five seconds, at nodes that reached the store (CONFIG).

Cause: delegates, which read the configuration itself while watches are late, are chosen among the nodes that gossip knows to be alive. A node that is cut off the store, or turned away by it, is alive and stays a delegate. If this happens in all zones, nobody reads.

Change: the decision when to read moves into the reducer.

--- a/codec/peer.go
+++ b/codec/peer.go
@@ -91,6 +91,7 @@
 		Service:     string(member.Service),
 		Held:        uint64(member.HeldVersion),
 		Leaving:     member.Leaving,
+		Detached:    member.Detached,
 		GoneMillis:  member.GoneFor.Milliseconds(),
 	}
 	if !member.StartedAt.IsZero() {
@@ -129,6 +130,7 @@
 		Service:     types.ServiceName(wire.GetService()),
 		HeldVersion: types.Version(wire.GetHeld()),
 		Leaving:     wire.GetLeaving(),
+		Detached:    wire.GetDetached(),
 		GoneFor:     time.Duration(max(0, wire.GetGoneMillis())) * time.Millisecond,
 	}
 	if millis := wire.GetStartedMillis(); millis != 0 {
--- a/core/join.go
+++ b/core/join.go
@@ -100,8 +100,12 @@
 
 // stateOf returns the state of a member as shown in the timeline.
 func stateOf(member fleet.Member) string {
-	if member.Leaving && member.Status == fleet.Alive {
+	switch {
+	case member.Leaving && member.Status == fleet.Alive:
 		return "leaving"
+	case member.Detached && member.Status == fleet.Alive:
+		return "detached"
+	default:
+		return member.Status.String()
 	}
-	return member.Status.String()
 }
--- a/core/state.go
+++ b/core/state.go
@@ -24,6 +24,7 @@
 	keys      keyState
 	upstream  localUpstream
 	record    recordGate
+	poller    rootPoller
 	rules     ruleCache
 	// candidates is a buffer that pick reuses to avoid allocations.
 	candidates    []route.Candidate
@@ -50,6 +51,7 @@
 	fleet     []fleet.Option
 
 	recordReadLimit time.Duration
+	pollInterval    time.Duration
 }
 
 // Option changes a setting of a State.
@@ -111,6 +113,7 @@
 		callerRetries: flow.NewRetryTracker(),
 		policies:      se.policies,
 		stop:          stopProgress{linger: se.linger},
+		poller:        rootPoller{interval: se.pollInterval, rand: rand.New(rand.NewPCG(se.seed, ^se.seed))},
 		record:        recordGate{limit: se.recordReadLimit, open: se.recordReadLimit == 0},
 	}
 	hooks := flow.Hooks{
@@ -173,6 +176,10 @@
 		return st.rootRead(ev)
 	case RecordRead:
 		return st.recordRead(ev, now)
+	case RootPolled:
+		return st.rootPolled(ev)
+	case WatchFailed:
+		return st.fleet.SetDetached(true)
 	case fleet.ExchangeReceived, fleet.ExchangeAnswered, fleet.ExchangeFailed, fleet.IndirectProbeEnded, fleet.PullEnded:
 		return st.exchanged(event, now)
 	default:
@@ -208,7 +215,8 @@
 	effects = append(effects, st.timelineEvents(effects, now)...)
 	effects = append(effects, st.refreshUpstream(now)...)
 	effects = append(effects, st.keys.ledger.Sweep(now)...)
-	return append(effects, st.electDelegate()...)
+	effects = append(effects, st.electDelegate()...)
+	return append(effects, st.pollRoot(now)...)
 }
 
 func (st *State) fired(timer types.Timer, now time.Time) []types.Effect {
--- a/fleet/delegate.go
+++ b/fleet/delegate.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,7 +27,7 @@
 // IsDelegate reports whether this node is a delegate, which watches the platform's
 // object API for new configurations on behalf of its zone. The delegates are the
 // nodes with the highest rendezvous ranks among the zone's alive nodes that are
-// not leaving.
+// neither leaving nor detached from the platform.
 func (tb *Table) IsDelegate() bool {
 	if tb.delegateStale {
 		tb.delegate = tb.computeDelegate()
@@ -50,20 +52,68 @@
 }
 
 func (tb *Table) computeDelegate() bool {
-	if !tb.settled || tb.self.Leaving || tb.self.Status != Alive {
+	if !tb.settled || !tb.self.eligible() {
 		return false
 	}
 	higher := 0
 	own := rank(tb.self.ID, tb.self.Zone)
 	for _, rc := range tb.liveSet.items {
-		member := &rc.member
-		if member.Zone == tb.self.Zone && rc.rank > own && member.Status == Alive && !member.Leaving {
+		if rc.member.Zone == tb.self.Zone && rc.rank > own && rc.member.eligible() {
 			higher++
 		}
 	}
 	return higher < tb.delegatesPerZone
 }
 
+// eligible reports whether the member may be a delegate of its zone.
+func (m *Member) eligible() bool { return m.Status == Alive && !m.Leaving && !m.Detached }
+
+// SetDetached records whether this node's calls to the platform get no answer, and
+// announces a change to peers. If the node becomes detached, the nodes that may succeed
+// it as a delegate are told first, so that no time is lost until one of them reads the
+// platform.
+func (tb *Table) SetDetached(detached bool) []types.Effect {
+	if tb.self.Detached == detached {
+		return nil
+	}
+	var effects []types.Effect
+	tb.announce(tb.self.WithDetached(detached))
+	if detached {
+		for _, rc := range tb.successors() {
+			effects = append(effects, tb.exchangeWith(rc))
+		}
+	}
+	return append(effects, tb.Push()...)
+}
+
+// successors returns the eligible nodes of this node's zone with the highest ranks. They
+// are two for each delegate, since delegates often lose the platform together.
+func (tb *Table) successors() []*record {
+	var eligible []*record
+	for _, rc := range tb.liveSet.items {
+		if rc.member.Zone == tb.self.Zone && rc.member.eligible() {
+			eligible = append(eligible, rc)
+		}
+	}
+	slices.SortFunc(eligible, func(a, b *record) int { return cmp.Compare(b.rank, a.rank) })
+	return eligible[:min(len(eligible), 2*tb.delegatesPerZone)]
+}
+
+// DetachedInZone returns the number of detached nodes in this node's zone, including
+// this node.
+func (tb *Table) DetachedInZone() int {
+	count := 0
+	for _, rc := range tb.liveSet.items {
+		if rc.member.Zone == tb.self.Zone && rc.member.Detached {
+			count++
+		}
+	}
+	if tb.self.Detached {
+		count++
+	}
+	return count
+}
+
 // rank returns the rendezvous rank of an instance in its zone.
 func rank(id types.InstanceID, zone types.Zone) uint64 {
 	return xxhash.Sum64String("delegate|" + string(zone) + "|" + string(id))
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -78,6 +78,8 @@
 	HeldVersion types.Version
 	// Leaving is true if the node is shutting down and accepts no new work.
 	Leaving bool
+	// Detached is true if the node's calls to the platform get no answer.
+	Detached bool
 	// Departure is the latest departure of a process of the node's upstream.
 	Departure types.Option[Departure]
 	// GoneFor is how long the sender of a message has known that the member is
@@ -125,6 +127,12 @@
 	return m
 }
 
+// WithDetached returns a copy of the record with Detached set to the given value.
+func (m Member) WithDetached(detached bool) Member {
+	m.Detached = detached
+	return m
+}
+
 // AcceptsWork reports whether new work may be sent to the member's upstream.
 func (m Member) AcceptsWork() bool {
 	upstream, ok := m.Upstream.Get()
@@ -201,6 +209,10 @@
 		uint64(upstream.WarmUp.Milliseconds()), uint64(upstream.ReadyAt.UnixMilli()),
 		boolToUint64(departed), boolToUint64(departure.Ended), departure.Sequence, uint64(departure.StartedAt.UnixMilli()),
 	}
+	// Nodes that do not know Detached have the same hash of a record without it.
+	if m.Detached {
+		numbers = append(numbers, 1)
+	}
 	for _, number := range numbers {
 		buffer = binary.LittleEndian.AppendUint64(buffer, number)
 	}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -114,8 +114,8 @@
 // Effect implements types.Effect.
 func (Duplicated) Effect() {}
 
-// StatusChanged is the effect to report that a member is new or that its status,
-// leaving flag or process start changed.
+// StatusChanged is the effect to report that a member is new or that its status, its
+// process start, or whether it is leaving or detached changed.
 type StatusChanged struct{ Member Member }
 
 // Effect implements types.Effect.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -284,7 +284,7 @@
 	if withdrawn || member.Status == Alive && old.Status == Suspect {
 		tb.schedulePush()
 	}
-	if old.Status == member.Status && old.Leaving == member.Leaving && old.StartedAt.Equal(member.StartedAt) {
+	if old.Status == member.Status && old.Leaving == member.Leaving && old.Detached == member.Detached && old.StartedAt.Equal(member.StartedAt) {
 		return nil
 	}
 	return []types.Effect{StatusChanged{Member: member}}
--- a/node/effect.go
+++ b/node/effect.go
@@ -68,6 +68,8 @@
 	switch ef := effect.(type) {
 	case core.ReadRoot:
 		nd.startRootRead(ef.Epoch)
+	case core.PollRoot:
+		go nd.pollRoot()
 	case core.RecordDeparture:
 		go nd.writeDeparture(nd.runCtx, nd.departures.begin())
 	case core.WatchPlatform:
--- a/node/handler.go
+++ b/node/handler.go
@@ -59,7 +59,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(nd.runCtx, platformTimeout)
 		defer cancel()
-		nd.recordReach(false, nd.readRoot(ctx))
+		if err := nd.readRoot(ctx); err != nil {
+			nd.recordEvent(trace.Event{Kind: trace.PlatformFailed, Detail: "read: " + fault.From(err).Error()})
+		}
 	}()
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -211,6 +211,7 @@
 		core.WithKeys(nd.settings.KeyLimits),
 		core.WithLinger(nd.settings.StopLinger),
 		core.WithRecordRead(recordReadLimit),
+		core.WithPolling(nd.settings.PollInterval),
 	}
 	coreOptions = append(coreOptions, nd.coreOptions...)
 	nd.loop = &loop{state: core.New(self, coreOptions...), now: nd.now, run: nd.runEffect}
@@ -285,7 +286,6 @@
 	}
 	addTask(runCtx, &group, nd.tick)
 	addTask(runCtx, &group, nd.join)
-	addTask(runCtx, &group, nd.pollRoot)
 	addTask(runCtx, &group, nd.reloadCerts)
 	addTask(runCtx, &group, func(runCtx context.Context) error { return nd.awaitStop(ctx, runCtx) })
 	err := group.Run()
--- a/node/platform.go
+++ b/node/platform.go
@@ -103,12 +103,22 @@
 		cancel()
 		if ctx.Err() == nil && !lost {
 			lost = true
-			nd.recordEvent(trace.Event{Kind: trace.PlatformFailed, Detail: fault.From(err).Error()})
+			nd.watchFailed(err)
 		}
 		pause.sleep(ctx)
 	}
 }
 
+// watchFailed records that the watch of the root object failed. The reads of a delegate
+// that polls tell better whether the platform answers this node, as watches may be cut
+// off on all nodes at once.
+func (nd *Node) watchFailed(err error) {
+	nd.recordEvent(trace.Event{Kind: trace.PlatformFailed, Detail: fault.From(err).Error()})
+	if nd.settings.PollInterval == 0 {
+		nd.loop.post(core.WatchFailed{})
+	}
+}
+
 // watchPause returns how long the node waits after an event of its watch before it
 // watches on. In the meantime, it learns of changes from its peers.
 func (nd *Node) watchPause() time.Duration {
@@ -117,39 +127,9 @@
 	return pause
 }
 
-// pollRoot reads the configuration's root object every Settings.PollInterval on
-// average while this node is a delegate, that is one of the nodes that watch the
-// platform's store on behalf of their zone. The delegates do not share the reads, since
-// most of them may be cut off from the platform.
-func (nd *Node) pollRoot(ctx context.Context) error {
-	if nd.settings.PollInterval <= 0 {
-		<-ctx.Done()
-		return nil
-	}
-	lost := false
-	for ctx.Err() == nil {
-		sleep(ctx, jitter(nd.settings.PollInterval))
-		delegate := false
-		nd.loop.read(func(state *core.State) { delegate = state.Fleet().IsDelegate() })
-		if delegate {
-			lost = nd.recordReach(lost, nd.readRoot(ctx))
-		}
-	}
-	return nil
-}
-
-// recordReach records an event if a delegate's read of the root object failed and lost
-// is false, or if the read succeeded and lost is true. It returns whether the read
-// failed.
-func (nd *Node) recordReach(lost bool, err error) bool {
-	switch failed := err != nil; {
-	case failed == lost:
-	case failed:
-		nd.recordEvent(trace.Event{Kind: trace.PlatformFailed, Detail: "read: " + fault.From(err).Error()})
-	default:
-		nd.recordEvent(trace.Event{Kind: trace.PlatformRecovered, Subject: nd.settings.Instance, Detail: "read"})
-	}
-	return err != nil
+// pollRoot reads the configuration's root object once, for the state machine.
+func (nd *Node) pollRoot() {
+	nd.loop.post(core.RootPolled{Err: fault.From(nd.readRoot(nd.runCtx))})
 }
 
 // offerRoot fetches the configuration that a root object describes and offers
