Keep to the rate that an upstream names in its answers

Cause: the owner, which alone sends to an upstream, bounds its work by slots. No code read a rate.

Change: admit has a token bucket beside the slots, set by each answer of the upstream's present process; work that can't start within its aim is refused at once, with the time that the limit needs. Owners report the wait with their load, and entries count it like the wait for a link. The product's own header is Sequoiamill-Rate-Limit.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -50,6 +50,7 @@
 	// compete for the slots again.
 	pendingRetries retryBacklog
 	link           link
+	rate           rateLimit
 }
 
 // runningItem is a work item that was dispatched to the upstream and has not
@@ -135,7 +136,7 @@
 	if refused := ct.refuseByLink(item, now); refused != nil {
 		return refused
 	}
-	if ct.mode == passThrough || ct.free() > 0 && ct.mayRun(item, now) {
+	if ct.mode == passThrough || ct.free() > 0 && ct.mayRun(item, now) && ct.rateAllows(now) {
 		return ct.dispatch(nil, item, now)
 	}
 	if ct.mode == unbounded {
@@ -219,9 +220,16 @@
 	return defaultDuration
 }
 
+// rateAllows reports whether the rate limit lets arriving work be dispatched at once.
+// Work that already waits for the limit goes first.
+func (ct *Controller) rateAllows(now time.Time) bool {
+	return !ct.rate.limited() || len(ct.queue) == 0 && ct.rate.wait(0, now) == 0
+}
+
 func (ct *Controller) free() int { return ct.slots - len(ct.running) }
 
 func (ct *Controller) dispatch(effects []types.Effect, item QueueItem, now time.Time) []types.Effect {
+	ct.rate.take(now)
 	ct.running[item.Work.ID] = &runningItem{work: item.Work, startedAt: now, expected: item.ExpectedDuration, long: item.Long}
 	return append(effects, trace.Count{Counter: trace.WorkDispatched}, Dispatch{Work: item.Work})
 }
--- a/admit/long.go
+++ b/admit/long.go
@@ -69,6 +69,11 @@
 // estimateWait estimates how long a work item waits in the queue if the given
 // number of queued work items of its class, long or short, run before it.
 func (ct *Controller) estimateWait(item QueueItem, ahead int, now time.Time) time.Duration {
+	return max(ct.estimateSlotWait(item, ahead, now), ct.rate.wait(ahead, now))
+}
+
+// estimateSlotWait is like estimateWait, but without the rate limit.
+func (ct *Controller) estimateSlotWait(item QueueItem, ahead int, now time.Time) time.Duration {
 	if item.Long {
 		return item.ExpectedDuration * time.Duration(ahead+1) / time.Duration(ct.maxLongSlots())
 	}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -53,10 +53,11 @@
 		ct.shortQueuedSince = now
 	}
 	ct.queue = append(ct.queue, item)
-	return append(effects,
+	effects = append(effects,
 		trace.Count{Counter: trace.WorkQueued},
 		types.SetTimer{Timer: types.Timer{Kind: types.QueueDeadline, Work: item.Work.ID}, At: expiresAt},
 	)
+	return ct.startRateTimer(effects, now)
 }
 
 // queued counts the long or the short work items in the queue.
@@ -70,11 +71,11 @@
 	return count
 }
 
-// drain dispatches queued work to the free slots. In shedding mode it refuses
+// drain dispatches queued work to the free slots, as far as the rate limit allows. In shedding mode it refuses
 // work whose deadline has passed or that the discipline drops.
 func (ct *Controller) drain(now time.Time) []types.Effect {
 	var effects []types.Effect
-	for len(ct.queue) > 0 && ct.free() > 0 {
+	for len(ct.queue) > 0 && ct.free() > 0 && ct.rate.wait(0, now) == 0 {
 		i := ct.nextIndex(now)
 		if i < 0 {
 			break
@@ -93,7 +94,7 @@
 		ct.removeAt(i)
 		effects = ct.dispatch(effects, item, now)
 	}
-	return effects
+	return ct.startRateTimer(effects, now)
 }
 
 // nextIndex returns the index of the queued work item that runs next, or -1 if
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -138,5 +138,8 @@
 // to run the queued work and the expected retries, plus random jitter.
 func (ct *Controller) RetryAfter(now time.Time) time.Duration {
 	each := ct.meanDuration / time.Duration(max(ct.slots, 1))
+	if ct.rate.limited() {
+		each = max(each, time.Duration(float64(time.Second)/ct.rate.perSecond))
+	}
 	return ct.pendingRetries.retryAfter(time.Duration(len(ct.queue))*each, each, ct.rng, now)
 }
--- a/admit/work.go
+++ b/admit/work.go
@@ -76,6 +76,18 @@
 	Complete bool
 	// ServerFault is true if the upstream answered with a server error.
 	ServerFault bool
+	// Demand is what the upstream's answer says about the work that it takes, or
+	// none if there was no answer of the upstream.
+	Demand types.Option[Demand]
+}
+
+// Demand is what an upstream's answer says about the work that it takes.
+type Demand struct {
+	// Process is the upstream's process that answered.
+	Process types.ProcessID
+	// RateLimit is the number of work items per second that the upstream takes, or 0
+	// if it names none.
+	RateLimit float64
 }
 
 // Event implements types.Event.
--- a/core/owner.go
+++ b/core/owner.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"strconv"
 	"time"
 
 	"sequoiamill.example/sequoiamill/admit"
@@ -15,6 +17,10 @@
 // announcementExpiry is how long an announcement is valid without a renewal.
 const announcementExpiry = 10 * time.Second
 
+// reportedLimitChange is the relative change of the upstream's rate limit from which an
+// event is recorded.
+const reportedLimitChange = 0.1
+
 // localUpstream is the state of the upstream that this node owns.
 type localUpstream struct {
 	announcement Announcement
@@ -110,7 +116,11 @@
 		return effects
 	}
 	st.upstream.readyAt = now
-	return append(effects, st.refuseQueued(fault.NoUpstream, "another upstream took its place")...)
+	effects = append(effects, st.refuseQueued(fault.NoUpstream, "another upstream took its place")...)
+	if announcement.sameProcess(last) {
+		return effects
+	}
+	return append(effects, st.setRateLimit(0, now)...)
 }
 
 // refreshUpstream updates the slots and the node's membership record. If the
@@ -178,10 +188,38 @@
 	if event.Outcome != fault.NotRun && !st.admission.Aborted(event.ID) {
 		st.upstream.faultShare.Observe(event.ServerFault || !event.Complete, now)
 	}
+	effects = append(effects, st.applyDemand(event.Demand, now)...)
 	st.admission.RecordAnswerSize(event.ID, event.Size)
 	return append(effects, st.admission.Finish(event.ID, event.Elapsed, now)...)
 }
 
+// applyDemand applies what an answer of the upstream says about the work that it takes.
+// A late answer of an earlier process is ignored.
+func (st *State) applyDemand(demand types.Option[admit.Demand], now time.Time) []types.Effect {
+	stated, ok := demand.Get()
+	if !ok || !st.upstream.known || stated.Process != st.upstream.announcement.Process {
+		return nil
+	}
+	return st.setRateLimit(stated.RateLimit, now)
+}
+
+// setRateLimit sets the number of work items per second that the upstream gets. 0 is no
+// limit.
+func (st *State) setRateLimit(limit float64, now time.Time) []types.Effect {
+	old := st.admission.RateLimit()
+	effects := st.admission.SetRateLimit(limit, now)
+	detail := ""
+	switch set := st.admission.RateLimit(); {
+	case set == 0 && old > 0:
+		detail = "none"
+	case math.Abs(set-old) > reportedLimitChange*old:
+		detail = strconv.FormatFloat(set, 'f', 1, 64) + " a second"
+	default:
+		return effects
+	}
+	return append(effects, trace.Event{Kind: trace.RateLimitChanged, Subject: st.fleet.Self().ID, Detail: detail})
+}
+
 // workArrived answers, refuses or admits a work item that an entry node sent.
 func (st *State) workArrived(work admit.WorkItem, now time.Time) []types.Effect {
 	if work.Keyed() {
--- a/core/state.go
+++ b/core/state.go
@@ -133,9 +133,16 @@
 
 // Load returns the load of the local upstream, as reported to other nodes.
 func (st *State) Load(now time.Time) route.Load {
-	return route.Load{Outstanding: st.admission.Running(), Queued: st.admission.Queued(), FaultShare: st.upstream.faultShare.Value(now)}
+	return route.Load{
+		Outstanding: st.admission.Running(), Queued: st.admission.Queued(),
+		RateWait: st.admission.RateWait(now), FaultShare: st.upstream.faultShare.Value(now),
+	}
 }
 
+// RateLimited reports whether the local upstream names a limit to the work that it takes
+// per second.
+func (st *State) RateLimited() bool { return st.admission.RateLimit() > 0 }
+
 // Ready reports whether the node may serve callers. A node is ready if it holds a
 // configuration, has joined the fleet, has been a member of the fleet for at least
 // flow.KeyLimits.Margin, and has not been asked to stop. A newer member might not
@@ -227,6 +234,8 @@
 		return st.calls.Hedge(timer.Call, now)
 	case types.QueueDeadline:
 		return st.admission.Expire(timer.Work, now)
+	case types.RateLimitReset:
+		return st.admission.RateTimerFired(now)
 	default:
 		return nil
 	}
--- a/proxy/dialect.go
+++ b/proxy/dialect.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"sequoiamill.example/sequoiamill/admit"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/types"
 )
@@ -44,6 +45,9 @@
 	// Refusal returns an error if the upstream's response states that the
 	// upstream did not run the request, and nil otherwise.
 	Refusal func(response *http.Response) *fault.Error
+	// Demand returns what the upstream's response says about the work that it takes,
+	// or false if the response says nothing that can be relied on.
+	Demand func(response *http.Response) (admit.Demand, bool)
 	// WriteAnswer sets the headers that are added to an upstream's response before
 	// it is sent to the caller.
 	WriteAnswer func(header http.Header, request types.RequestID)
@@ -61,6 +65,7 @@
 		WriteWork:   writeWork,
 		Echo:        func(header http.Header) types.RequestID { return types.RequestID(header.Get(HeaderRequestID)) },
 		Refusal:     parseRefusal,
+		Demand:      parseDemand,
 		WriteAnswer: writeAnswer,
 		WriteFault:  writeFault,
 	}
@@ -129,6 +134,25 @@
 	return err
 }
 
+func parseDemand(response *http.Response) (admit.Demand, bool) {
+	limit, ok := ParseRateLimit(response.Header.Get(HeaderRateLimit))
+	return admit.Demand{RateLimit: limit}, ok
+}
+
+// ParseRateLimit parses a decimal number of requests per second that an upstream takes.
+// An empty text is no limit, that is 0. A limit of 0 requests is returned as the smallest
+// limit above it. ParseRateLimit returns false for any other text.
+func ParseRateLimit(text string) (float64, bool) {
+	if text == "" {
+		return 0, true
+	}
+	limit, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(limit >= 0) || math.IsInf(limit, 1) {
+		return 0, false
+	}
+	return max(limit, math.SmallestNonzeroFloat64), true
+}
+
 func writeAnswer(header http.Header, request types.RequestID) {
 	header.Set(HeaderRequestID, string(request))
 	header.Set(HeaderOutcome, fault.Ran.String())
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -11,8 +11,10 @@
 
 	"github.com/pkg/errors"
 
+	"sequoiamill.example/sequoiamill/admit"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/types"
 )
 
 const (
@@ -54,7 +56,7 @@
 		_ = conn.Close()
 		return unknownOutcomeResult(fault.Wrap(fault.BrokenAnswer, causeOf(ctx, err), "write to the upstream")), true
 	}
-	result, keep, err := ow.readResponse(ctx, conn, job, requireEcho)
+	result, keep, err := ow.readResponse(ctx, up, conn, job, requireEcho)
 	if err != nil {
 		_ = conn.Close()
 		if conn.reused {
@@ -145,7 +147,7 @@
 // readResponse reads the answer to a job and skips interim responses and
 // answers to other requests. It also returns how long the connection may then
 // stay idle.
-func (ow *Owner) readResponse(ctx context.Context, conn *upstreamConn, job Job, requireEcho bool) (Result, time.Duration, error) {
+func (ow *Owner) readResponse(ctx context.Context, up *upstream, conn *upstreamConn, job Job, requireEcho bool) (Result, time.Duration, error) {
 	request := &http.Request{Method: job.Method}
 	for range maxMismatched {
 		conn.head.limit(maxResponseHead)
@@ -176,13 +178,26 @@
 			continue
 		}
 		if bodyEndKnown(response, job.Method) || ow.closeDelimited {
-			return ow.checkResponse(response, body, job), idleTimeoutOf(response), nil
+			demand := ow.demandOf(response, up)
+			result := ow.checkResponse(response, body, job)
+			result.Demand = demand
+			return result, idleTimeoutOf(response), nil
 		}
 		return Result{}, 0, fault.New(fault.BrokenAnswer, "the upstream's answer has neither a length nor a chunked end")
 	}
 	return Result{}, 0, errMismatched
 }
 
+// demandOf returns what a response of the upstream says about the work that it takes.
+func (ow *Owner) demandOf(response *http.Response, up *upstream) types.Option[admit.Demand] {
+	demand, ok := ow.dialect.Demand(response)
+	if !ok {
+		return types.None[admit.Demand]()
+	}
+	demand.Process = up.process
+	return types.Some(demand)
+}
+
 // checkEcho compares the request identifier that an answer echoes with that of
 // the job. On a reused connection, a late answer to an earlier request may come
 // first: checkEcho then returns true, and readResponse skips that answer. checkEcho
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -224,6 +224,7 @@
 		Elapsed:  result.AtUpstream,
 		Size:     len(result.Response.Body),
 		Complete: result.Verdict == flow.Answered,
+		Demand:   result.Demand,
 
 		ServerFault: result.Response.Status >= http.StatusInternalServerError,
 	}
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -22,6 +22,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sequoiamill.example/sequoiamill/admit"
 	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/flow"
@@ -39,6 +40,9 @@
 	HeaderOutcome        = "Sequoiamill-Outcome"
 	HeaderErrorKind      = "Sequoiamill-Error-Kind"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderRateLimit is set by an upstream to the number of requests per second that
+	// it takes.
+	HeaderRateLimit = "Sequoiamill-Rate-Limit"
 
 	// headerPrefix is the prefix of every header name except Idempotency-Key.
 	headerPrefix     = "Sequoiamill-"
@@ -55,12 +59,13 @@
 	headerStatus  = "Sequoiamill-Status"
 	// headerDigest is the xxHash64 of the body in hexadecimal.
 	headerDigest = "Sequoiamill-Digest"
-	// headerOutstanding, headerQueued, headerLinkWait and headerFaultShare
-	// report the load of the owner's upstream to the entry node.
+	// headerOutstanding, headerQueued, headerLinkWait, headerFaultShare and
+	// headerRateWait report the load of the owner's upstream to the entry node.
 	headerOutstanding = "Sequoiamill-Outstanding"
 	headerQueued      = "Sequoiamill-Queued"
 	headerLinkWait    = "Sequoiamill-Link-Wait-Micros"
 	headerFaultShare  = "Sequoiamill-Fault-Share"
+	headerRateWait    = "Sequoiamill-Rate-Wait-Micros"
 	headerRetryAfter  = "Sequoiamill-Retry-After-Millis"
 	// headerLastOwner is set if the entry node will send the call's idempotency
 	// key to no other owner.
@@ -148,6 +153,9 @@
 	Err      *fault.Error
 	Load     route.Load
 	Response Response
+	// Demand is what the upstream's answer says about the work that it takes. It is
+	// none if the result comes from another node.
+	Demand types.Option[admit.Demand]
 	// RefusedByUpstream is true if it was the upstream, not the owner, that
 	// refused the job.
 	RefusedByUpstream bool
@@ -387,6 +395,9 @@
 	if load.LinkWait > 0 {
 		header.Set(headerLinkWait, formatMicros(load.LinkWait))
 	}
+	if load.RateWait > 0 {
+		header.Set(headerRateWait, formatMicros(load.RateWait))
+	}
 	if load.FaultShare > 0 {
 		header.Set(headerFaultShare, strconv.FormatFloat(load.FaultShare, 'f', 3, 64))
 	}
@@ -398,12 +409,14 @@
 	outstanding, _ := strconv.Atoi(header.Get(headerOutstanding))
 	queued, _ := strconv.Atoi(header.Get(headerQueued))
 	linkWait, _ := strconv.ParseInt(header.Get(headerLinkWait), 10, 64)
+	rateWait, _ := strconv.ParseInt(header.Get(headerRateWait), 10, 64)
 	faults, _ := strconv.ParseFloat(header.Get(headerFaultShare), 64)
 	return route.Load{
 		FaultShare:  min(max(0, faults), 1),
 		Outstanding: max(0, outstanding),
 		Queued:      max(0, queued),
 		LinkWait:    time.Duration(max(0, linkWait)) * time.Microsecond,
+		RateWait:    time.Duration(max(0, rateWait)) * time.Microsecond,
 	}
 }
 
--- a/route/balancer.go
+++ b/route/balancer.go
@@ -41,6 +41,8 @@
 	Queued int
 	// LinkWait is how long a large answer waits for the instance's network link.
 	LinkWait time.Duration
+	// RateWait is how long a new attempt waits for the upstream's rate limit.
+	RateWait time.Duration
 	// FaultShare is the share of the recent attempts that failed at the upstream.
 	FaultShare float64
 }
@@ -177,11 +179,14 @@
 	return b.policy.Choose(b.scores, b.source)
 }
 
-// KnownFull reports whether a candidate has no free slot, as far as a recent report of
+// KnownFull reports whether a candidate has no free slot or is at its rate limit, as far as a recent report of
 // its owner node and the attempts since then tell.
 func (b *Balancer) KnownFull(candidate Candidate, now time.Time) bool {
 	state, ok := b.states[candidate.ID]
-	return ok && now.Sub(state.LoadReportedAt) < fullReportAge && state.ahead(now) >= max(candidate.Slots, 1)
+	if !ok || now.Sub(state.LoadReportedAt) >= fullReportAge {
+		return false
+	}
+	return state.ahead(now) >= max(candidate.Slots, 1) || state.rateWait(now) > 0
 }
 
 // AttemptStarted records that an attempt was sent to an upstream.
--- a/route/policy.go
+++ b/route/policy.go
@@ -76,7 +76,7 @@
 		penalty += zonePenalty
 	}
 	faultCost := rating.ExcessFaultShare * (serviceTime + float64(failurePenalty))
-	return serviceTime*(1+utilization+math.Max(0, utilization-1)) + faultCost + float64(penalty+rating.linkWait())
+	return serviceTime*(1+utilization+math.Max(0, utilization-1)) + faultCost + float64(penalty+rating.linkWait()+rating.State.rateWait(rating.Now))
 }
 
 // linkWait estimates how long a large answer waits for the network link of the
--- a/route/state.go
+++ b/route/state.go
@@ -228,6 +228,12 @@
 	return max(s.Outstanding, reported)
 }
 
+// rateWait estimates how long a new attempt waits for the upstream's rate limit: the
+// wait that the owner node reported, minus the time since the report.
+func (s *UpstreamState) rateWait(now time.Time) time.Duration {
+	return max(0, s.Load.RateWait-now.Sub(s.LoadReportedAt))
+}
+
 // faultShare returns the share of failed attempts that the owner node last
 // reported, which decays with the report's age.
 func (s *UpstreamState) faultShare(now time.Time) float64 {
--- a/trace/event.go
+++ b/trace/event.go
@@ -51,6 +51,7 @@
 	SettingsRefused
 	NodeStopped
 	PlatformRecovered
+	RateLimitChanged
 	kindCount
 )
 
@@ -85,6 +86,7 @@
 	SettingsRefused:     "settings-refused",
 	NodeStopped:         "node-stopped",
 	PlatformRecovered:   "platform-regained",
+	RateLimitChanged:    "rate-limit-changed",
 }
 
 // String returns the kebab-case name of the kind, which the timeline shows.
--- a/types/timer.go
+++ b/types/timer.go
@@ -10,6 +10,7 @@
 	CallDeadline TimerKind = iota + 1
 	CallHedge
 	QueueDeadline
+	RateLimitReset
 )
 
 // String returns the kebab-case name of the kind.
@@ -21,13 +22,15 @@
 		return "call-hedge"
 	case QueueDeadline:
 		return "queue-deadline"
+	case RateLimitReset:
+		return "rate-limit-reset"
 	default:
 		return "unknown-timer"
 	}
 }
 
 // Timer identifies a timer of a node's state machine. Call is set for the kinds
-// CallDeadline and CallHedge, Work for QueueDeadline.
+// CallDeadline and CallHedge, Work for QueueDeadline, none for RateLimitReset.
 type Timer struct {
 	Kind TimerKind
 	Call CallID
