Give no more work to an upstream whose answer says that it leaves

Cause: as with the limit, no code read the answer's header; only announcements made an owner stop.

Change: the owner treats such an answer like an announcement: it withdraws the upstream from the fleet, refuses what waits as not-run and records the departure. For a minute, announcements of the same process that say ready do not undo it, as they may have been sent before; once the process has announced that it leaves, its sequence decides again.

--- a/admit/work.go
+++ b/admit/work.go
@@ -88,6 +88,8 @@
 	// RateLimit is the number of work items per second that the upstream takes, or 0
 	// if it names none.
 	RateLimit float64
+	// Leaving is true if the upstream says that it accepts no new work.
+	Leaving bool
 }
 
 // Event implements types.Event.
--- a/core/owner.go
+++ b/core/owner.go
@@ -17,6 +17,10 @@
 // announcementExpiry is how long an announcement is valid without a renewal.
 const announcementExpiry = 10 * time.Second
 
+// leavingHold is how long a process gets no work after an answer of it said that it
+// leaves, although its announcements do not. A process that leaves has ended by then.
+const leavingHold = time.Minute
+
 // reportedLimitChange is the relative change of the upstream's rate limit from which an
 // event is recorded.
 const reportedLimitChange = 0.1
@@ -34,6 +38,9 @@
 	// readyAt is the time since which the upstream has accepted work without a
 	// break.
 	readyAt time.Time
+	// leavingStatedAt is when an answer of the process last said that the process
+	// leaves, or zero if none did or the process has announced it since.
+	leavingStatedAt time.Time
 	// unreachable is true if a connection to the upstream failed after its last
 	// announcement.
 	unreachable bool
@@ -63,11 +70,12 @@
 		}
 		return effects
 	}
+	announcement, confirmed := st.holdLeaving(announcement, now)
 	effects := st.switchUpstream(announcement, now)
 	if last.Leaving && !announcement.Leaving {
 		st.upstream.readyAt = now
 	}
-	changed := !st.upstream.known || last.Leaving != announcement.Leaving || !announcement.sameProcess(last)
+	changed := confirmed || !st.upstream.known || last.Leaving != announcement.Leaving || !announcement.sameProcess(last)
 	st.upstream.known, st.upstream.departedAt = true, time.Time{}
 	st.upstream.announcement = announcement
 	st.upstream.renewedAt = now
@@ -162,7 +170,7 @@
 	if !st.upstream.known {
 		return nil
 	}
-	st.upstream = localUpstream{announcement: st.upstream.announcement}
+	st.upstream = localUpstream{announcement: st.upstream.announcement, leavingStatedAt: st.upstream.leavingStatedAt}
 	st.fleet.SetUpstream("", types.None[fleet.Upstream]())
 	event := trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: reason}
 	return append(st.refuseQueued(fault.NoUpstream, "the upstream is gone"), event)
@@ -200,7 +208,40 @@
 	if !ok || !st.upstream.known || stated.Process != st.upstream.announcement.Process {
 		return nil
 	}
-	return st.setRateLimit(stated.RateLimit, now)
+	effects := st.setRateLimit(stated.RateLimit, now)
+	if stated.Leaving {
+		effects = append(effects, st.leavingStated(now)...)
+	}
+	return effects
+}
+
+// leavingStated withdraws the upstream because its answer says that it leaves.
+func (st *State) leavingStated(now time.Time) []types.Effect {
+	st.upstream.leavingStatedAt = now
+	if st.upstream.announcement.Leaving {
+		return nil
+	}
+	st.upstream.announcement.Leaving = true
+	effects := append(st.refreshUpstream(now), st.recordDeparture()...)
+	return append(effects, trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: "its answer says that it leaves"})
+}
+
+// holdLeaving returns the announcement as that of a leaving process if an answer of the
+// same process says so. An announcement that was sent before that answer may arrive
+// after it. Once the process announces itself that it leaves, the sequence of the
+// announcements tells which one is later. confirmed is true if the announcement is the
+// first to say what an answer has said.
+func (st *State) holdLeaving(announcement Announcement, now time.Time) (held Announcement, confirmed bool) {
+	up := &st.upstream
+	stated := !up.leavingStatedAt.IsZero() && announcement.sameProcess(up.announcement)
+	switch {
+	case !stated || announcement.Leaving:
+		up.leavingStatedAt = time.Time{}
+	case now.Sub(up.leavingStatedAt) < leavingHold:
+		announcement.Leaving = true
+		return announcement, false
+	}
+	return announcement, stated && announcement.Leaving
 }
 
 // setRateLimit sets the number of work items per second that the upstream gets. 0 is no
--- a/proxy/dialect.go
+++ b/proxy/dialect.go
@@ -136,7 +136,7 @@
 
 func parseDemand(response *http.Response) (admit.Demand, bool) {
 	limit, ok := ParseRateLimit(response.Header.Get(HeaderRateLimit))
-	return admit.Demand{RateLimit: limit}, ok
+	return admit.Demand{RateLimit: limit, Leaving: response.Header.Get(HeaderLeaving) == SetFlag}, ok
 }
 
 // ParseRateLimit parses a decimal number of requests per second that an upstream takes.
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -43,6 +43,8 @@
 	// HeaderRateLimit is set by an upstream to the number of requests per second that
 	// it takes.
 	HeaderRateLimit = "Sequoiamill-Rate-Limit"
+	// HeaderLeaving is set by an upstream to SetFlag if it accepts no new work.
+	HeaderLeaving = "Sequoiamill-Leaving"
 
 	// headerPrefix is the prefix of every header name except Idempotency-Key.
 	headerPrefix     = "Sequoiamill-"
@@ -86,6 +88,9 @@
 	headerSoftDeadlineLeft = "Sequoiamill-Aim-Left-Micros"
 )
 
+// SetFlag is the value of a header of an upstream that is either set or absent.
+const SetFlag = "1"
+
 // ForwardPath is the HTTP path at which a node accepts jobs from other nodes.
 const ForwardPath = "/forward"
 
