Take the time of a pause from requests read after it

What callers and upstreams could see: a node that wakes after some seconds reads requests that waited in the buffers of its connections and takes their time left as counted from then. An owner dispatched work whose entry had answered unknown meanwhile; an entry sent on what its caller had given up.

Cause: the time left travels as a duration and is counted from when it is read; only pauses of more than 3 s were noticed, and a suspend only with the next tick.

Change: pauses of 0.5 s or more are noticed before each request is read, a suspend too. What is read within 0.2 s after one counts as having waited through it, at the entry and at the owner, also in the deadline that the upstream gets; what may be over is refused as not-run. After a suspend, queued work is refused, as its deadlines do not count that time.

Evidence: the new tests of core fail with the change taken out.

The sessions and one test now tick every 100 ms, as nodes do; they stood still for a second at a time, which is a pause.

--- a/core/depart_test.go
+++ b/core/depart_test.go
@@ -130,8 +130,10 @@
 			sn := newUnannouncedNode(t, core.WithRecordRead(time.Second))
 			sn.step(core.Tick{})
 			sn.announce(announcement)
-			sn.now = sn.now.Add(test.wait)
-			sn.step(core.Tick{})
+			for end := sn.now.Add(test.wait); sn.now.Before(end); {
+				sn.now = sn.now.Add(tickInterval)
+				sn.step(core.Tick{})
+			}
 			if test.read {
 				sn.step(core.RecordRead{})
 			}
--- a/core/entry.go
+++ b/core/entry.go
@@ -24,10 +24,14 @@
 	if len(matched.Split) > 0 {
 		matched = matched.WithService(st.splitter.Choose(matched))
 	}
-	limit := min(matched.Deadline, event.Limit.Or(matched.Deadline))
+	limit := min(matched.Deadline, event.Limit.Or(matched.Deadline)) - st.pause.maxWaited(now)
+	if limit <= 0 {
+		err := fault.New(fault.DeadlineExceeded, "the deadline came while the node was paused").WithRetryAfter(defaultRetryAfter)
+		return append(effects, refuseCall(event, err)...)
+	}
 	call := flow.Call{ID: event.Call, Request: event.Request, Key: event.Key, Route: matched, Deadline: now.Add(limit), FirstSent: now}
 	if callerLimit, ok := event.Limit.Get(); ok {
-		call.CallerDeadline = now.Add(callerLimit)
+		call.CallerDeadline = now.Add(callerLimit - st.pause.maxWaited(now))
 		call.FirstSent = st.callerRetries.FirstSent(matched.Name, call.CallerDeadline, now)
 	}
 	if matched.TargetLatency > 0 {
--- a/core/join.go
+++ b/core/join.go
@@ -3,17 +3,11 @@
 import (
 	"time"
 
-	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
 )
 
-// maxTickGap is the longest normal time since the last tick. After a longer time,
-// the node assumes that its process was paused. maxTickGap is shorter than the
-// time after which other nodes declare a silent node dead.
-const maxTickGap = 3 * time.Second
-
 // RootRead reports that the platform's configuration root was read. The root is
 // the object that gives the current version of the configuration.
 type RootRead struct {
@@ -34,29 +28,6 @@
 // Effect implements types.Effect.
 func (ReadRoot) Effect() {}
 
-// detectPause makes the node rejoin the fleet if its process was paused for more
-// than maxTickGap, since other nodes may have declared it dead. detectPause runs
-// before every event, because work that arrived during the pause may be handled
-// before the next tick.
-func (st *State) detectPause(event types.Event, now time.Time) []types.Effect {
-	gap := now.Sub(st.lastTick)
-	if tick, ok := event.(Tick); ok {
-		gap += tick.Suspended
-	}
-	if st.lastTick.IsZero() || gap <= maxTickGap {
-		return nil
-	}
-	st.lastTick = now
-	st.fleet.Rejoin(now)
-	st.keys.ledger.MarkIncompleteBefore(now)
-	refused := fault.New(fault.NotReady, "the node was paused").WithRetryAfter(defaultRetryAfter)
-	effects := []types.Effect{
-		trace.Event{Kind: trace.NodeRejoined, Subject: st.fleet.Self().ID, Detail: "paused for " + gap.Truncate(time.Millisecond).String()},
-		ReadRoot{Epoch: st.fleet.Epoch()},
-	}
-	return append(effects, st.admission.RefuseQueued(refused)...)
-}
-
 func (st *State) rootRead(event RootRead) []types.Effect {
 	st.rootVersion = event.Version
 	st.fleet.WantVersion(event.Version)
--- a/core/owner.go
+++ b/core/owner.go
@@ -275,6 +275,14 @@
 			admit.Refuse{Work: work, Err: err},
 		}
 	}
+	if work = st.afterPause(work, now); !now.Before(work.Deadline) {
+		err := fault.New(fault.DeadlineExceeded, "the deadline came while the node was paused")
+		return []types.Effect{
+			trace.Count{Counter: trace.WorkShed},
+			trace.Event{Kind: trace.WorkRefused, Request: work.Request, Detail: err.Error()},
+			admit.Refuse{Work: work, Err: err},
+		}
+	}
 	work.RequireEcho = st.effectiveRule(st.fleet.Self(), now).rule.RequireEcho
 	return st.admission.Submit(work, now)
 }
--- /dev/null
+++ b/core/pause.go
@@ -0,0 +1,79 @@
+package core
+
+import (
+	"time"
+
+	"sequoiamill.example/sequoiamill/admit"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/trace"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+const (
+	// minPause is the shortest time without a tick that counts as a pause.
+	minPause = 500 * time.Millisecond
+	// maxTickGap is the longest pause after which the node need not rejoin. It is
+	// shorter than the time after which other nodes declare a silent node dead.
+	maxTickGap = 3 * time.Second
+	// wakePeriod is how long after a pause the node reads requests that may have waited
+	// through the pause in the buffers of its connections.
+	wakePeriod = 200 * time.Millisecond
+)
+
+// pause is the latest time in which the process did not run, because it was stopped, its
+// machine was suspended or it got no processor time.
+type pause struct {
+	length  time.Duration
+	endedAt time.Time
+}
+
+// maxWaited returns how long a request that is read now may have waited unread.
+func (pa pause) maxWaited(now time.Time) time.Duration {
+	if pa.endedAt.IsZero() || now.Sub(pa.endedAt) >= wakePeriod {
+		return 0
+	}
+	return pa.length
+}
+
+// detectPause notices that the process was paused. After more than maxTickGap, the node
+// rejoins the fleet, since other nodes may have declared it dead. detectPause runs
+// before every event, because work that arrived during the pause may be handled before
+// the next tick.
+func (st *State) detectPause(event types.Event, now time.Time) []types.Effect {
+	gap, suspended := now.Sub(st.lastTick), time.Duration(0)
+	if tick, ok := event.(Tick); ok {
+		suspended = tick.Suspended
+	}
+	gap += suspended
+	if st.lastTick.IsZero() || gap < minPause {
+		return nil
+	}
+	st.pause, st.lastTick = pause{length: gap, endedAt: now}, now
+	refused := fault.New(fault.NotReady, "the node was paused").WithRetryAfter(defaultRetryAfter)
+	if gap <= maxTickGap {
+		if suspended < minPause {
+			return nil
+		}
+		// The deadlines of queued work do not count the time of the suspend.
+		return st.admission.RefuseQueued(refused)
+	}
+	st.fleet.Rejoin(now)
+	st.keys.ledger.MarkIncompleteBefore(now)
+	effects := []types.Effect{
+		trace.Event{Kind: trace.NodeRejoined, Subject: st.fleet.Self().ID, Detail: "paused for " + gap.Truncate(time.Millisecond).String()},
+		ReadRoot{Epoch: st.fleet.Epoch()},
+	}
+	return append(effects, st.admission.RefuseQueued(refused)...)
+}
+
+// afterPause returns the work item with the deadlines that its entry node holds it to if
+// the item waited unread through the whole pause. By a later deadline, the entry node may
+// have told the caller that the outcome is unknown, and the work must not run then.
+func (st *State) afterPause(work admit.WorkItem, now time.Time) admit.WorkItem {
+	waited := st.pause.maxWaited(now)
+	work.Deadline = work.Deadline.Add(-waited)
+	if !work.SoftDeadline.IsZero() {
+		work.SoftDeadline = work.SoftDeadline.Add(-waited)
+	}
+	return work
+}
--- a/core/policy_test.go
+++ b/core/policy_test.go
@@ -19,6 +19,9 @@
 
 var start = time.Date(2026, 3, 2, 10, 0, 0, 0, time.UTC)
 
+// tickInterval is the time between two ticks of a node that is not paused.
+const tickInterval = 100 * time.Millisecond
+
 // singleNode drives one node that has joined a fleet and has a configuration.
 type singleNode struct {
 	state    *core.State
--- a/core/session_test.go
+++ b/core/session_test.go
@@ -26,7 +26,7 @@
 	data  *datadriven.TestData
 	state *core.State
 	now   time.Time
-	// announced is the announcement that "advance" renews every second.
+	// announced is the announcement that "advance" renews with every tick.
 	announced types.Option[core.UpstreamAnnounced]
 }
 
@@ -55,7 +55,7 @@
 		if err != nil {
 			se.t.Fatal(err)
 		}
-		for end := se.now.Add(wait); se.now.Before(end); se.now = se.now.Add(min(time.Second, end.Sub(se.now))) {
+		for end := se.now.Add(wait); se.now.Before(end); se.now = se.now.Add(min(tickInterval, end.Sub(se.now))) {
 			if event, ok := se.announced.Get(); ok {
 				se.state.Step(event, se.now)
 			}
--- a/core/state.go
+++ b/core/state.go
@@ -31,7 +31,9 @@
 	splitter      *route.Splitter
 	callerRetries *flow.RetryTracker
 	policies      Policies
-	lastTick      time.Time
+	// lastTick is when the last tick was, or the end of a pause since then.
+	lastTick time.Time
+	pause    pause
 	// rootVersion is the version of the platform's configuration root when it was
 	// last read.
 	rootVersion types.Version
--- a/node/node.go
+++ b/node/node.go
@@ -214,7 +214,11 @@
 		core.WithPolling(nd.settings.PollInterval),
 	}
 	coreOptions = append(coreOptions, nd.coreOptions...)
-	nd.loop = &loop{state: core.New(self, coreOptions...), now: nd.now, run: nd.runEffect}
+	var detector suspendDetector
+	nd.loop = &loop{
+		state: core.New(self, coreOptions...), now: nd.now, run: nd.runEffect,
+		suspended: func() time.Duration { return detector.sinceLast(nd.now(), bootTime()) },
+	}
 	nd.collector = &http.Client{Transport: &http.Transport{DialContext: nd.peerDialer()}}
 	nd.peers = peer.NewClient(nd.clock, nd.now, peer.WithMeter(nd.metrics.countControlBytes), peer.WithInstance(nd.settings.Instance), peer.WithDialer(nd.peerDialer()))
 	ownerOptions := []proxy.OwnerOption{proxy.WithMaxBody(nd.settings.MaxBody), proxy.WithMetrics(nd.metrics.proxyMetrics())}
@@ -327,13 +331,12 @@
 func (nd *Node) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	var detector suspendDetector
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			nd.loop.post(core.Tick{Suspended: detector.sinceLast(nd.now(), bootTime())})
+			nd.loop.post(core.Tick{})
 		}
 	}
 }
--- a/node/suspend.go
+++ b/node/suspend.go
@@ -24,13 +24,22 @@
 	boot      time.Duration
 }
 
+// minSuspend is the shortest suspend that is told from the time between the readings of
+// the two clocks.
+const minSuspend = 10 * time.Millisecond
+
 // sinceLast returns for how long the machine was suspended since the previous
-// call. It returns 0 on the first call and if boot is 0, which means unknown.
+// call. It returns 0 on the first call, if boot is 0, which means unknown, and if the
+// suspend was shorter than minSuspend.
 func (sd *suspendDetector) sinceLast(monotonic time.Time, boot time.Duration) time.Duration {
 	last := *sd
 	sd.monotonic, sd.boot = monotonic, boot
 	if last.monotonic.IsZero() || boot == 0 {
 		return 0
 	}
-	return max(0, (boot-last.boot)-monotonic.Sub(last.monotonic))
+	suspended := (boot - last.boot) - monotonic.Sub(last.monotonic)
+	if suspended < minSuspend {
+		return 0
+	}
+	return suspended
 }
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -216,7 +216,11 @@
 
 func (ow *Owner) dispatch(work admit.WorkItem, pending *pendingJob) {
 	start := ow.now()
-	result := ow.sendToUpstream(pending.ctx, pending.job, work.RequireEcho)
+	job := pending.job
+	job.Deadline = work.Deadline
+	ctx, cancel := context.WithDeadline(pending.ctx, work.Deadline)
+	defer cancel()
+	result := ow.sendToUpstream(ctx, job, work.RequireEcho)
 	result.AtUpstream = ow.now().Sub(start)
 	ended := admit.Ended{
 		ID:       work.ID,
