Leave small answers to exchanges uncompressed

Cause: the RPC library compresses every answer, also of 300 bytes. A compressor takes 0.8 MB and is dropped with each collection.

Answers from 2 KiB on, and configurations, stay compressed.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -27,7 +27,11 @@
 )
 
 const (
-	maxMessage      = 8 << 20
+	maxMessage = 8 << 20
+	// minCompressed is the size in bytes from which an answer is compressed. Most
+	// answers to exchanges are smaller, and compressing those would cost more processor
+	// time than all else about them.
+	minCompressed   = 2 << 10
 	idleConnections = 256
 	idleTimeout     = 30 * time.Second
 	instanceHeader  = "Sequoiamill-Instance"
@@ -54,7 +58,7 @@
 
 // NewHandler returns the path and the handler of the RPC service for peers.
 func NewHandler(service Service) (string, http.Handler) {
-	path, handler := peerv1connect.NewPeerHandler(&server{service: service}, connect.WithReadMaxBytes(maxMessage))
+	path, handler := peerv1connect.NewPeerHandler(&server{service: service}, connect.WithReadMaxBytes(maxMessage), connect.WithCompressMinBytes(minCompressed))
 	if service.Meter != nil {
 		handler = service.Meter.handler(handler)
 	}
