Report a delegate's read before its version is decoded

A read counted as answered only once the configuration was decoded. A large one takes longer than 500 ms on a small, busy instance, and the delegate would step down although the platform answers it.

Also: one read of the root object where there were three, and one refusal of work that may not be admitted where there were two.

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -71,8 +71,8 @@
 	return count
 }
 
-// drain dispatches queued work to the free slots, as far as the rate limit allows. In shedding mode it refuses
-// work whose deadline has passed or that the discipline drops.
+// drain dispatches queued work to the free slots, as far as the rate limit allows. In
+// shedding mode it refuses work whose deadline has passed or that the discipline drops.
 func (ct *Controller) drain(now time.Time) []types.Effect {
 	var effects []types.Effect
 	for len(ct.queue) > 0 && ct.free() > 0 && ct.rate.wait(0, now) == 0 {
--- a/core/owner.go
+++ b/core/owner.go
@@ -268,6 +268,7 @@
 			return effects
 		}
 	}
+	work = st.afterPause(work, now)
 	if err := st.admissionError(work, now); err != nil {
 		return []types.Effect{
 			trace.Count{Counter: trace.WorkShed},
@@ -275,14 +276,6 @@
 			admit.Refuse{Work: work, Err: err},
 		}
 	}
-	if work = st.afterPause(work, now); !now.Before(work.Deadline) {
-		err := fault.New(fault.DeadlineExceeded, "the deadline came while the node was paused")
-		return []types.Effect{
-			trace.Count{Counter: trace.WorkShed},
-			trace.Event{Kind: trace.WorkRefused, Request: work.Request, Detail: err.Error()},
-			admit.Refuse{Work: work, Err: err},
-		}
-	}
 	work.RequireEcho = st.effectiveRule(st.fleet.Self(), now).rule.RequireEcho
 	return st.admission.Submit(work, now)
 }
@@ -305,6 +298,8 @@
 		return fault.New(fault.Closed, "the upstream is leaving").WithRetryAfter(defaultRetryAfter)
 	case !st.effectiveRule(st.fleet.Self(), now).admits(st.admission.TypicalDuration(work.Route), now):
 		return fault.New(fault.Closed, "the upstream is closed when the work would end").WithRetryAfter(defaultRetryAfter)
+	case st.pause.maxWaited(now) > 0 && !now.Before(work.Deadline):
+		return fault.New(fault.DeadlineExceeded, "the deadline came while the node was paused").WithRetryAfter(defaultRetryAfter)
 	default:
 		return nil
 	}
--- a/node/handler.go
+++ b/node/handler.go
@@ -59,9 +59,12 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(nd.runCtx, platformTimeout)
 		defer cancel()
-		if err := nd.readRoot(ctx); err != nil {
+		object, err := nd.getRoot(ctx)
+		if err != nil {
 			nd.recordEvent(trace.Event{Kind: trace.PlatformFailed, Detail: "read: " + fault.From(err).Error()})
+			return
 		}
+		nd.offerRoot(ctx, object)
 	}()
 }
 
--- a/node/platform.go
+++ b/node/platform.go
@@ -127,9 +127,14 @@
 	return pause
 }
 
-// pollRoot reads the configuration's root object once, for the state machine.
+// pollRoot reads the configuration's root object once, reports whether the platform
+// answered, and offers the configuration to the state machine.
 func (nd *Node) pollRoot() {
-	nd.loop.post(core.RootPolled{Err: fault.From(nd.readRoot(nd.runCtx))})
+	object, err := nd.getRoot(nd.runCtx)
+	nd.loop.post(core.RootPolled{Err: fault.From(err)})
+	if err == nil {
+		nd.offerRoot(nd.runCtx, object)
+	}
 }
 
 // offerRoot fetches the configuration that a root object describes and offers
@@ -233,8 +238,8 @@
 func (nd *Node) waitForRoot(ctx context.Context) (plat.Object, error) {
 	pause := newBackoff()
 	for {
-		object, err := nd.store.Get(ctx, nd.source.Name)
-		if err == nil || fault.Is(err, fault.NotFound) {
+		object, err := nd.getRoot(ctx)
+		if err == nil {
 			return object, nil
 		}
 		if ctx.Err() != nil {
@@ -244,17 +249,14 @@
 	}
 }
 
-// readRoot reads the configuration's root object once and offers the
-// configuration to the state machine.
-func (nd *Node) readRoot(ctx context.Context) error {
+// getRoot reads the configuration's root object. It returns an empty object if there is
+// none.
+func (nd *Node) getRoot(ctx context.Context) (plat.Object, error) {
 	object, err := nd.store.Get(ctx, nd.source.Name)
 	if fault.Is(err, fault.NotFound) {
-		return nil
-	}
-	if err == nil {
-		nd.offerRoot(ctx, object)
+		return plat.Object{}, nil
 	}
-	return err
+	return object, err
 }
 
 func sleep(ctx context.Context, wait time.Duration) {
