--- a/fleet/delegate_test.go
+++ b/fleet/delegate_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,6 +23,31 @@
 	return delegates
 }
 
+// findMissingDelegate describes a zone whose joined nodes do not have two delegates, or
+// as many as there are joined nodes that reach the platform. It returns "" if there is
+// none. The nodes of a mesh without a version do not join.
+func (ms *mesh) findMissingDelegate() string {
+	eligible, delegates := map[types.Zone]int{}, map[types.Zone]int{}
+	for _, nd := range ms.live() {
+		self := nd.table.Self()
+		if !nd.table.Joined() {
+			return ""
+		}
+		if !self.Detached {
+			eligible[self.Zone]++
+		}
+		if nd.table.IsDelegate() {
+			delegates[self.Zone]++
+		}
+	}
+	for zone, count := range eligible {
+		if delegates[zone] != min(2, count) {
+			return fmt.Sprintf("%s has %d delegates of %d nodes that reach the platform\n%s", zone, delegates[zone], count, strings.Join(ms.events, "\n"))
+		}
+	}
+	return ""
+}
+
 // TestDetachedDelegateIsReplaced checks that the zone of a delegate which does not reach
 // the platform has another delegate within a second, and that the delegate returns.
 func TestDetachedDelegateIsReplaced(t *testing.T) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -19,7 +19,7 @@
 // pass.
 func randomAction(t *rapid.T, ms *mesh, version *types.Version) {
 	nd := ms.nodes[rapid.IntRange(0, len(ms.nodes)-1).Draw(t, "node")]
-	switch rapid.SampledFrom([]string{"kill", "start", "pause", "resume", "upstream", "version", "wait"}).Draw(t, "act") {
+	switch rapid.SampledFrom([]string{"kill", "start", "pause", "resume", "upstream", "version", "detach", "wait"}).Draw(t, "act") {
 	case "kill":
 		if len(ms.live()) > 1 {
 			nd.up = false
@@ -40,6 +40,10 @@
 			leaving := rapid.Bool().Draw(t, "leaving")
 			nd.table.SetUpstream("status", types.Some(fleet.Upstream{Slots: 10, Leaving: leaving}))
 		}
+	case "detach":
+		if nd.up && !nd.paused {
+			ms.execute(nd, nd.table.SetDetached(rapid.Bool().Draw(t, "detached")))
+		}
 	case "version":
 		if nd.up && !nd.paused && nd.held >= nd.table.Self().HeldVersion {
 			*version++
@@ -76,6 +80,9 @@
 		if problem := ms.findRegression(); problem != "" {
 			t.Fatal(problem)
 		}
+		if problem := ms.findMissingDelegate(); problem != "" {
+			t.Fatal(problem)
+		}
 		for _, nd := range ms.live() {
 			if nd.held != version && ms.anyHolds(version) {
 				t.Fatalf("n%d holds version %d of %d", nd.number, nd.held, version)
--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -270,7 +270,8 @@
 	for _, nd := range live {
 		for _, other := range live {
 			member, _ := nd.table.Member(other.table.Self().ID)
-			if member.Status != fleet.Alive || member.Address != other.address || member.HeldVersion < other.held {
+			if member.Status != fleet.Alive || member.Address != other.address || member.HeldVersion < other.held ||
+				member.Detached != other.table.Self().Detached {
 				return fmt.Sprintf("n%d sees n%d as %+v\n%s", nd.number, other.number, member, strings.Join(ms.events, "\n"))
 			}
 		}
