--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -19,7 +19,7 @@
 // pass.
 func randomAction(t *rapid.T, ms *mesh, version *types.Version) {
 	nd := ms.nodes[rapid.IntRange(0, len(ms.nodes)-1).Draw(t, "node")]
-	switch rapid.SampledFrom([]string{"kill", "start", "pause", "resume", "upstream", "version", "detach", "wait"}).Draw(t, "act") {
+	switch act := rapid.SampledFrom([]string{"kill", "start", "pause", "resume", "upstream", "version", "detach", "wait"}).Draw(t, "act"); act {
 	case "kill":
 		if len(ms.live()) > 1 {
 			nd.up = false
@@ -35,22 +35,28 @@
 			nd.paused = false
 			nd.table.Rejoin(ms.now)
 		}
-	case "upstream":
-		if nd.up && !nd.paused {
-			leaving := rapid.Bool().Draw(t, "leaving")
-			nd.table.SetUpstream("status", types.Some(fleet.Upstream{Slots: 10, Leaving: leaving}))
-		}
-	case "detach":
+	default:
 		if nd.up && !nd.paused {
-			ms.execute(nd, nd.table.SetDetached(rapid.Bool().Draw(t, "detached")))
+			randomChange(t, ms, nd, act, version)
 		}
+	}
+	ms.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "ticks")) * tick)
+}
+
+// randomChange applies a change of the given kind to a running node.
+func randomChange(t *rapid.T, ms *mesh, nd *meshNode, act string, version *types.Version) {
+	switch act {
+	case "upstream":
+		leaving := rapid.Bool().Draw(t, "leaving")
+		nd.table.SetUpstream("status", types.Some(fleet.Upstream{Slots: 10, Leaving: leaving}))
 	case "version":
-		if nd.up && !nd.paused && nd.held >= nd.table.Self().HeldVersion {
+		if nd.held >= nd.table.Self().HeldVersion {
 			*version++
 			ms.hold(nd, *version)
 		}
+	case "detach":
+		ms.execute(nd, nd.table.SetDetached(rapid.Bool().Draw(t, "detached")))
 	}
-	ms.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "ticks")) * tick)
 }
 
 func TestViewsConvergeAfterAnyFaults(t *testing.T) {
