Report what an upstream ran when it ended

The incident of a request that ends its upstreams could not be explained from the logs: neither the end of a process nor which requests are the same one was to be seen. The owner asks an upstream that closed a connection without an answer whether it still takes connections, gathers the work that broke off with it and writes one event, upstream-ended, with request, content and age. The content is a hash of route, method, path, query, caller and body; the entry makes it and sends it along. The host is no part of it, since a caller may address a node. No decision changes.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -172,6 +172,16 @@
 	}
 }
 
+// RunningSince returns a running work item and when it was dispatched, or false if no
+// such item runs.
+func (ct *Controller) RunningSince(id types.WorkID) (WorkItem, time.Time, bool) {
+	active, ok := ct.running[id]
+	if !ok {
+		return WorkItem{}, time.Time{}, false
+	}
+	return active.work, active.startedAt, true
+}
+
 // Aborted reports whether a running work item was aborted.
 func (ct *Controller) Aborted(id types.WorkID) bool {
 	active, ok := ct.running[id]
--- a/admit/work.go
+++ b/admit/work.go
@@ -32,6 +32,8 @@
 	// Fingerprint is a hash of the request. It detects a key that is reused for a
 	// different request.
 	Fingerprint uint64
+	// Content identifies the request when it comes again.
+	Content types.ContentHash
 	// LastOwner is true if the entry node will ask no other owner node to run this
 	// key.
 	LastOwner bool
@@ -76,6 +78,9 @@
 	Complete bool
 	// ServerFault is true if the upstream answered with a server error.
 	ServerFault bool
+	// UpstreamEnded is true if the upstream closed the connection before it had
+	// answered and takes no new ones.
+	UpstreamEnded bool
 	// Demand is what the upstream's answer says about the work that it takes, or
 	// none if there was no answer of the upstream.
 	Demand types.Option[Demand]
--- a/core/entry.go
+++ b/core/entry.go
@@ -29,7 +29,10 @@
 		err := fault.New(fault.DeadlineExceeded, "the deadline came while the node was paused").WithRetryAfter(defaultRetryAfter)
 		return append(effects, refuseCall(event, err)...)
 	}
-	call := flow.Call{ID: event.Call, Request: event.Request, Key: event.Key, Route: matched, Deadline: now.Add(limit), FirstSent: now}
+	call := flow.Call{
+		ID: event.Call, Request: event.Request, Key: event.Key, Content: event.Content.WithRoute(matched.Name),
+		Route: matched, Deadline: now.Add(limit), FirstSent: now,
+	}
 	if callerLimit, ok := event.Limit.Get(); ok {
 		call.CallerDeadline = now.Add(callerLimit - st.pause.maxWaited(now))
 		call.FirstSent = st.callerRetries.FirstSent(matched.Name, call.CallerDeadline, now)
--- a/core/owner.go
+++ b/core/owner.go
@@ -188,6 +188,7 @@
 // be reached, the upstream gets no more work until its next announcement.
 func (st *State) workEnded(event admit.Ended, now time.Time) []types.Effect {
 	effects := st.keys.ledger.RecordEnd(event, now)
+	effects = append(effects, st.recordEndedRun(event, now)...)
 	if event.Err != nil && event.Err.Kind == fault.Unreachable && st.upstream.known && !st.upstream.unreachable {
 		st.upstream.unreachable = true
 		effects = append(effects, trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: event.Err.Message})
@@ -249,7 +250,7 @@
 func (st *State) setRateLimit(limit float64, now time.Time) []types.Effect {
 	old := st.admission.RateLimit()
 	effects := st.admission.SetRateLimit(limit, now)
-	detail := ""
+	var detail string
 	switch set := st.admission.RateLimit(); {
 	case set == 0 && old > 0:
 		detail = "none"
--- a/core/state.go
+++ b/core/state.go
@@ -40,6 +40,9 @@
 	// watching is true while the node watches the platform's root.
 	watching bool
 	stop     stopProgress
+	// endedRuns is the work that broke off when the upstream's process ended, until
+	// its end is reported.
+	endedRuns []endedRun
 }
 
 type settings struct {
@@ -238,6 +241,8 @@
 		return st.admission.Expire(timer.Work, now)
 	case types.RateLimitReset:
 		return st.admission.RateTimerFired(now)
+	case types.UpstreamEndSettled:
+		return st.upstreamEndSettled(now)
 	default:
 		return nil
 	}
--- a/flow/event.go
+++ b/flow/event.go
@@ -21,6 +21,8 @@
 
 // CallArrived reports that a caller's request arrived.
 type CallArrived struct {
+	// Content identifies the request among those on its route when it comes again.
+	Content types.ContentHash
 	Call    types.CallID
 	Request types.RequestID
 	Key     types.Option[types.Key]
@@ -102,6 +104,7 @@
 	Target   route.Candidate
 	Route    conf.Route
 	Key      types.Option[types.Key]
+	Content  types.ContentHash
 	Deadline time.Time
 	// SoftDeadline is the time after which the answer is of less use.
 	// It is zero if the route has none.
--- a/flow/table.go
+++ b/flow/table.go
@@ -27,7 +27,9 @@
 	Request types.RequestID
 	Key     types.Option[types.Key]
 	// Minted is when the idempotency key was generated, if the call has one.
-	Minted   time.Time
+	Minted time.Time
+	// Content identifies the request when it comes again.
+	Content  types.ContentHash
 	Route    conf.Route
 	Deadline time.Time
 	// SoftDeadline is the time after which the answer is of less use. It is zero
@@ -387,6 +389,7 @@
 			Target:        target,
 			Route:         cs.call.Route,
 			Key:           cs.call.Key,
+			Content:       cs.call.Content,
 			Deadline:      cs.call.Deadline,
 			SoftDeadline:  cs.call.SoftDeadline,
 			LastOwner:     choice.LastOwner,
--- a/proxy/bounds.go
+++ b/proxy/bounds.go
@@ -29,6 +29,8 @@
 	// left is the number of bytes that may still be read, if limited is true.
 	left    int
 	limited bool
+	// closed is true once the source has ended or failed.
+	closed bool
 }
 
 // limit allows size further bytes.
@@ -39,14 +41,15 @@
 
 // Read implements io.Reader.
 func (hr *headReader) Read(buffer []byte) (int, error) {
-	if !hr.limited {
-		return hr.source.Read(buffer)
+	if hr.limited {
+		if hr.left <= 0 {
+			return 0, errEndlessHead
+		}
+		buffer = buffer[:min(len(buffer), hr.left)]
 	}
-	if hr.left <= 0 {
-		return 0, errEndlessHead
-	}
-	count, err := hr.source.Read(buffer[:min(len(buffer), hr.left)])
+	count, err := hr.source.Read(buffer)
 	hr.left -= count
+	hr.closed = hr.closed || err != nil
 	return count, err
 }
 
--- a/proxy/dialect.go
+++ b/proxy/dialect.go
@@ -25,6 +25,9 @@
 	// Limit is how long the caller waits for the answer, if the request states
 	// it.
 	Limit types.Option[time.Duration]
+	// Caller is a hash of what the request says about who sends it, or 0 if it says
+	// nothing.
+	Caller uint64
 }
 
 // Dialect defines the header conventions used with callers and upstreams.
@@ -72,7 +75,7 @@
 }
 
 func readCall(request *http.Request) (CallMetadata, *fault.Error) {
-	metadata := CallMetadata{Request: newRequestID(), Key: idempotencyKey(request.Header)}
+	metadata := CallMetadata{Request: newRequestID(), Key: idempotencyKey(request.Header), Caller: callerHash(request.Header)}
 	limit, err := parseTimeLeft(request.Header)
 	metadata.Limit = limit
 	if host, _, splitErr := net.SplitHostPort(request.RemoteAddr); splitErr == nil {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -83,7 +83,7 @@
 	defer en.calls.remove(id)
 	path, _, _ := strings.Cut(job.URI, "?")
 	target := route.Request{Method: request.Method, Host: request.Host, Path: path}
-	en.post(flow.CallArrived{Call: id, Request: job.Request, Key: job.Key, Target: target, Limit: limit})
+	en.post(flow.CallArrived{Call: id, Request: job.Request, Content: job.Content, Key: job.Key, Target: target, Limit: limit})
 	select {
 	case res := <-pending.done:
 		en.writeResponse(request.Context(), writer, job, res)
@@ -121,6 +121,7 @@
 		return job, metadata.Limit, bodyReadError(readErr)
 	}
 	job.Body = body
+	job.Content = contentHash(job, metadata.Caller)
 	return job, metadata.Limit, nil
 }
 
@@ -187,6 +188,7 @@
 	job.Deadline = effect.Deadline
 	job.SoftDeadline = effect.SoftDeadline
 	job.Key = effect.Key
+	job.Content = effect.Content
 	job.LastOwner = effect.LastOwner
 	job.KeyDeclinedBy = effect.KeyDeclinedBy
 	ctx, cancel := context.WithDeadline(context.Background(), effect.Deadline)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -36,6 +36,7 @@
 		}
 		result, sent := ow.exchangeOnConn(ctx, up, conn, job, requireEcho)
 		if sent || !conn.reused {
+			result.UpstreamEnded = result.Verdict == flow.Lost && conn.head.closed && ctx.Err() == nil && up.ended(ctx)
 			return result
 		}
 	}
@@ -53,6 +54,7 @@
 		return notRunResult(fault.Wrap(fault.Unreachable, err, "write to the upstream")), false
 	}
 	if err != nil {
+		conn.head.closed = true
 		_ = conn.Close()
 		return unknownOutcomeResult(fault.Wrap(fault.BrokenAnswer, causeOf(ctx, err), "write to the upstream")), true
 	}
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -149,6 +149,7 @@
 		Key:           job.Key,
 		LastOwner:     job.LastOwner,
 		KeyDeclinedBy: job.KeyDeclinedBy,
+		Content:       job.Content,
 		Deadline:      job.Deadline,
 		SoftDeadline:  job.SoftDeadline,
 	}
@@ -230,7 +231,8 @@
 		Complete: result.Verdict == flow.Answered,
 		Demand:   result.Demand,
 
-		ServerFault: result.Response.Status >= http.StatusInternalServerError,
+		ServerFault:   result.Response.Status >= http.StatusInternalServerError,
+		UpstreamEnded: result.UpstreamEnded,
 	}
 	switch result.Verdict {
 	case flow.Answered:
--- a/proxy/upstream.go
+++ b/proxy/upstream.go
@@ -27,6 +27,9 @@
 	// for longer, and such work must not be sent twice.
 	maxIdleNonIdempotent = 200 * time.Millisecond
 	upstreamBufferSize   = 4 << 10
+	// endedRecheck is the time between the two connections by which an owner finds
+	// out whether the upstream's process has ended.
+	endedRecheck = 20 * time.Millisecond
 )
 
 // upstream is the process that serves as the local upstream, with the idle
@@ -86,6 +89,27 @@
 	return dialer.DialContext(ctx, "tcp", string(address))
 }
 
+// ended reports whether the upstream takes no connections. It is called after the
+// upstream has closed a connection without an answer. A process that is ending may
+// close its connections before it closes its listener, so ended asks twice.
+func (up *upstream) ended(ctx context.Context) bool {
+	for try := 0; ; try++ {
+		conn, err := dialUpstream(ctx, up.address)
+		if err != nil {
+			return errors.Is(err, unix.ECONNREFUSED)
+		}
+		_ = conn.Close()
+		if try > 0 {
+			return false
+		}
+		select {
+		case <-time.After(endedRecheck):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 func (up *upstream) popIdle() (*upstreamConn, bool) {
 	up.mu.Lock()
 	defer up.mu.Unlock()
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -86,6 +86,9 @@
 	// headerSoftDeadlineLeft is the time left until the soft deadline, in
 	// microseconds.
 	headerSoftDeadlineLeft = "Sequoiamill-Aim-Left-Micros"
+	// headerContent identifies the request when it comes again, as a
+	// types.ContentHash.
+	headerContent = "Sequoiamill-Content"
 )
 
 // SetFlag is the value of a header of an upstream that is either set or absent.
@@ -123,11 +126,13 @@
 	// SoftDeadline is the time after which the answer is worth less to the
 	// caller. Zero means that there is none.
 	SoftDeadline time.Time
-	Method       string
-	URI          string
-	Host         string
-	Header       http.Header
-	Body         []byte
+	// Content identifies the request when it comes again.
+	Content types.ContentHash
+	Method  string
+	URI     string
+	Host    string
+	Header  http.Header
+	Body    []byte
 	// LastOwner is true if the entry node will send the idempotency key to no
 	// other owner.
 	LastOwner bool
@@ -142,9 +147,12 @@
 
 // fingerprint returns a hash of the request, by which the owner detects that an
 // idempotency key is reused for a different request.
-func (j Job) fingerprint() uint64 {
-	hash := xxhash.New()
-	for _, text := range []string{j.Method, j.Host, j.URI} {
+func (j Job) fingerprint() uint64 { return j.hash(0, j.Method, j.Host, j.URI) }
+
+// hash returns a hash of the body and of other parts of the request.
+func (j Job) hash(seed uint64, parts ...string) uint64 {
+	hash := xxhash.NewWithSeed(seed)
+	for _, text := range parts {
 		_, _ = hash.WriteString(text + "\n")
 	}
 	_, _ = hash.Write(j.Body)
@@ -164,6 +172,9 @@
 	// RefusedByUpstream is true if it was the upstream, not the owner, that
 	// refused the job.
 	RefusedByUpstream bool
+	// UpstreamEnded is true if the upstream closed the connection before it had
+	// answered and takes no new ones.
+	UpstreamEnded bool
 	// KeyDeclined is true if the owner will never run a job with this
 	// idempotency key, so that another owner may run one.
 	KeyDeclined bool
@@ -235,6 +246,7 @@
 	if !job.SoftDeadline.IsZero() {
 		header.Set(headerSoftDeadlineLeft, formatMicros(job.SoftDeadline.Sub(now)))
 	}
+	header.Set(headerContent, job.Content.String())
 	header.Set(headerEntry, string(job.EntryNode))
 	header.Set(headerService, string(job.Route.Service))
 	header.Set(headerRoute, string(job.Route.Name))
@@ -288,6 +300,7 @@
 	if softLeft, err := strconv.ParseInt(header.Get(headerSoftDeadlineLeft), 10, 64); err == nil {
 		job.SoftDeadline = now.Add(time.Duration(softLeft) * time.Microsecond)
 	}
+	job.Content, _ = types.ParseContentHash(header.Get(headerContent))
 	stripInternalHeaders(header)
 	if job.Request == "" || job.Method == "" || job.URI == "" || job.Route.Service == "" {
 		return Job{}, fault.New(fault.InvalidInput, "a header of the forwarded call is missing")
--- a/trace/event.go
+++ b/trace/event.go
@@ -52,6 +52,7 @@
 	NodeStopped
 	PlatformRecovered
 	RateLimitChanged
+	UpstreamEnded
 	kindCount
 )
 
@@ -87,6 +88,7 @@
 	NodeStopped:         "node-stopped",
 	PlatformRecovered:   "platform-regained",
 	RateLimitChanged:    "rate-limit-changed",
+	UpstreamEnded:       "upstream-ended",
 }
 
 // String returns the kebab-case name of the kind, which the timeline shows.
--- a/types/timer.go
+++ b/types/timer.go
@@ -11,6 +11,7 @@
 	CallHedge
 	QueueDeadline
 	RateLimitReset
+	UpstreamEndSettled
 )
 
 // String returns the kebab-case name of the kind.
@@ -24,13 +25,15 @@
 		return "queue-deadline"
 	case RateLimitReset:
 		return "rate-limit-reset"
+	case UpstreamEndSettled:
+		return "upstream-end-settled"
 	default:
 		return "unknown-timer"
 	}
 }
 
 // Timer identifies a timer of a node's state machine. Call is set for the kinds
-// CallDeadline and CallHedge, Work for QueueDeadline, none for RateLimitReset.
+// CallDeadline and CallHedge, Work for QueueDeadline, none for the others.
 type Timer struct {
 	Kind TimerKind
 	Call CallID
--- a/types/types.go
+++ b/types/types.go
@@ -10,6 +10,13 @@
 //	value, ok := limit.Get()
 package types
 
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // InstanceID identifies an instance and the node that runs on it.
 type InstanceID string
 
@@ -61,6 +68,28 @@
 // sees it.
 type WorkID uint64
 
+// ContentHash identifies a request by what makes it the same one when it comes again:
+// its route, method, path, query, caller and body. 0 means that it is not known.
+type ContentHash uint64
+
+// WithRoute returns the hash of a request on a route, given that of its other parts. It
+// is never 0.
+func (h ContentHash) WithRoute(route RouteName) ContentHash {
+	hash := xxhash.NewWithSeed(uint64(h))
+	_, _ = hash.WriteString(string(route))
+	return ContentHash(max(hash.Sum64(), 1))
+}
+
+// String returns the hash in hexadecimal.
+func (h ContentHash) String() string { return fmt.Sprintf("%016x", uint64(h)) }
+
+// ParseContentHash returns the hash that String formatted as text, or false if text is
+// none.
+func ParseContentHash(text string) (ContentHash, bool) {
+	hash, err := strconv.ParseUint(text, 16, 64)
+	return ContentHash(hash), err == nil
+}
+
 // Event is an input of a node's state machine.
 type Event interface{ Event() }
 
