Add a failing test for a request that ends its upstreams

Nine nodes with stand-in upstreams; one request ends each upstream that runs it for 2 s and is sent to any node every 0.15 s, six callers send others beside it.

--- /dev/null
+++ b/node/crash_test.go
@@ -0,0 +1,273 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"sequoiamill.example/sequoiamill/api/opsv1"
+	"sequoiamill.example/sequoiamill/api/opsv1/opsv1connect"
+	"sequoiamill.example/sequoiamill/codec"
+	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/core"
+	"sequoiamill.example/sequoiamill/fakes"
+	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/node"
+	"sequoiamill.example/sequoiamill/plat"
+	"sequoiamill.example/sequoiamill/types"
+)
+
+const (
+	crashPath = "/status/ends"
+	crashBody = "ends"
+	// stability is the time within which all nodes know of a request that has ended
+	// maxEnded upstreams. Later than that, at most maxLateRuns runs of it may begin.
+	stability   = 3 * time.Second
+	maxEnded    = 3
+	maxLateRuns = 3
+	downFor     = 2 * time.Second
+	fleetWait   = 20 * time.Second
+	callLimit   = 2 * time.Second
+)
+
+// crashFleet is a fleet of nodes, each with a fakes.CrashingUpstream.
+type crashFleet struct {
+	t         *testing.T
+	ctx       context.Context
+	store     *plat.Store
+	nodes     []*node.Node
+	upstreams []*fakes.CrashingUpstream
+	log       fakes.CrashLog
+	client    *http.Client
+	tried     atomic.Uint64
+	running   sync.WaitGroup
+}
+
+func newCrashFleet(t *testing.T, size int) *crashFleet {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	fl := &crashFleet{t: t, ctx: ctx, store: plat.NewMemory().Store(), client: &http.Client{Timeout: 2 * callLimit}}
+	t.Cleanup(func() { cancel(); fl.running.Wait() })
+	for range size {
+		fl.join()
+	}
+	fl.publish()
+	fl.waitReady(size)
+	return fl
+}
+
+// join starts one more node with an upstream.
+func (fl *crashFleet) join() {
+	fl.t.Helper()
+	const anyPort = "127.0.0.1:0"
+	number := len(fl.nodes)
+	zones := []types.Zone{"kolkata", "howrah", "haldia"}
+	nd, err := node.New(node.Settings{
+		Instance: types.InstanceID(fmt.Sprintf("i%d", number)), Zone: zones[number%len(zones)], Region: "bengal-west",
+		Listen: anyPort, PeerListen: anyPort, AdminListen: anyPort, MaxBody: 1 << 20, StopLimit: time.Second, Seed: uint64(number),
+		KeyLimits: flow.KeyLimits{Margin: 100 * time.Millisecond, Retention: time.Minute}, Policies: core.DefaultPolicies(), PlainText: node.AllPlainText(),
+	}, fl.store)
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	fl.nodes = append(fl.nodes, nd)
+	upstream := &fakes.CrashingUpstream{
+		Path: crashPath, Body: crashBody, Work: 50 * time.Millisecond, EndsAfter: 50 * time.Millisecond, DownFor: downFor, Log: &fl.log,
+	}
+	address, err := upstream.Start()
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	fl.upstreams = append(fl.upstreams, upstream)
+	fl.t.Cleanup(upstream.Close)
+	fl.running.Go(func() { _ = nd.Run(fl.ctx) })
+	fl.running.Go(func() { fl.announce(nd, upstream, address) })
+}
+
+// announce announces an upstream to its node while the upstream takes connections.
+func (fl *crashFleet) announce(nd *node.Node, upstream *fakes.CrashingUpstream, address string) {
+	for fl.ctx.Err() == nil {
+		if upstream.Up() {
+			nd.Announce(core.Announcement{Address: types.Address(address), Service: "job-status", Slots: 10, Connections: 130})
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func (fl *crashFleet) operator() opsv1connect.OperatorClient {
+	return opsv1connect.NewOperatorClient(fl.client, "http://"+string(fl.nodes[0].AdminAddress()))
+}
+
+func (fl *crashFleet) publish() {
+	fl.t.Helper()
+	config := conf.Config{
+		Services: []conf.Service{{Name: "job-status"}},
+		Routes: []conf.Route{{
+			Name: "job-status", Service: "job-status", Match: conf.Match{PathPrefix: "/status"}, Idempotent: true, Importance: conf.Critical, Deadline: callLimit,
+		}},
+	}
+	request := &opsv1.ApplyRequest{ChangeId: "crash", Config: codec.ConfigToProto(config), Replace: true}
+	if _, err := fl.operator().Apply(fl.ctx, connect.NewRequest(request)); err != nil {
+		fl.t.Fatal(err)
+	}
+}
+
+// waitReady waits until all nodes are ready and know that all upstreams take work.
+func (fl *crashFleet) waitReady(size int) {
+	fl.t.Helper()
+	for deadline := time.Now().Add(fleetWait); !fl.ready(size); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			fl.t.Fatalf("%d nodes are not ready after %s", size, fleetWait)
+		}
+	}
+}
+
+func (fl *crashFleet) ready(size int) bool {
+	for _, nd := range fl.nodes {
+		client := opsv1connect.NewOperatorClient(fl.client, "http://"+string(nd.AdminAddress()))
+		status, err := client.Status(fl.ctx, connect.NewRequest(&opsv1.StatusRequest{}))
+		if err != nil || !nd.Ready() {
+			return false
+		}
+		owners := 0
+		for _, member := range status.Msg.GetNodes() {
+			if member.GetUpstream() {
+				owners++
+			}
+		}
+		if owners < size {
+			return false
+		}
+	}
+	return true
+}
+
+// reply is what a caller got.
+type reply struct {
+	status                 int
+	kind, outcome, comesIn string
+}
+
+// call sends a request to the next node in turn.
+func (fl *crashFleet) call(path, body string) reply {
+	nd := fl.nodes[int(fl.tried.Add(1))%len(fl.nodes)]
+	return fl.callNode(nd, path, body)
+}
+
+func (fl *crashFleet) callNode(nd *node.Node, path, body string, header ...string) reply {
+	request, err := http.NewRequestWithContext(fl.ctx, http.MethodPost, "http://"+string(nd.CallerAddress())+path, strings.NewReader(body))
+	if err != nil {
+		return reply{}
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := fl.client.Do(request)
+	if err != nil {
+		return reply{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return reply{
+		status: response.StatusCode, kind: response.Header.Get("Sequoiamill-Error-Kind"),
+		outcome: response.Header.Get("Sequoiamill-Outcome"), comesIn: response.Header.Get("Retry-After"),
+	}
+}
+
+// repeat calls send at each interval, without waiting for its end, until the time is
+// over. It returns a function that waits for the calls that have begun.
+func repeat(interval, length time.Duration, send func()) (wait func()) {
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(interval) {
+			calls.Go(send)
+		}
+	})
+	return calls.Wait
+}
+
+// TestRequestThatEndsItsUpstreamsReachesFewOfThem guards against a request that ends
+// each upstream which runs it and is sent to one after the other (BUDGET).
+func TestRequestThatEndsItsUpstreamsReachesFewOfThem(t *testing.T) {
+	check := is.New(t)
+	fl := newCrashFleet(t, 9)
+	const length = 10 * time.Second
+	began := time.Now()
+	var mu sync.Mutex
+	var lateUnserved []string
+	stop := repeat(150*time.Millisecond, length, func() { fl.call(crashPath, crashBody) })
+	var bystanders []func()
+	for caller := range 6 {
+		bystanders = append(bystanders, repeat(60*time.Millisecond, length, func() {
+			sent := time.Now()
+			got := fl.call("/status/plain", fmt.Sprint("plain ", caller))
+			if got.status != http.StatusOK && (got.kind == "held" || sent.Sub(began) > stability+downFor+time.Second) {
+				mu.Lock()
+				lateUnserved = append(lateUnserved, fmt.Sprint(sent.Sub(began).Round(time.Millisecond), got))
+				mu.Unlock()
+			}
+		}))
+	}
+	stop()
+	for _, wait := range bystanders {
+		wait()
+	}
+	late := fl.log.RunsAfter(maxEnded, stability)
+	t.Logf("%d upstreams ended, %d runs later than %s after the third", len(fl.log.Ends()), late, stability)
+	check.True(len(fl.log.Ends()) >= maxEnded) // the request ends upstreams
+	check.True(late <= maxLateRuns)            // it reaches few of them later
+	check.Equal(lateUnserved, nil)             // what ran beside it is served
+	fl.checkHeld(check)
+}
+
+// checkHeld checks that the request which ends upstreams is refused by every node, also
+// by one that joins, and that others on the same path are served.
+func (fl *crashFleet) checkHeld(check *is.I) {
+	check.Helper()
+	fl.join()
+	fl.waitReady(len(fl.nodes))
+	runs := len(fl.log.Runs())
+	for _, nd := range fl.nodes {
+		got := fl.callNode(nd, crashPath, crashBody)
+		check.Equal(got.kind, "held")
+		check.Equal(got.outcome, "not-run")
+		check.True(got.comesIn != "")
+		check.Equal(fl.callNode(nd, crashPath, "another body").status, http.StatusOK)
+		check.Equal(fl.callNode(nd, crashPath, crashBody, "Authorization", "another caller").status, http.StatusOK)
+	}
+	check.Equal(len(fl.log.Runs()), runs)
+}
+
+// TestRequestsThatRanWhenUpstreamsEndedAreServed guards against holding back a request
+// that only ran when upstreams ended for another reason, all of them again and again.
+func TestRequestsThatRanWhenUpstreamsEndedAreServed(t *testing.T) {
+	check := is.New(t)
+	fl := newCrashFleet(t, 3)
+	var held atomic.Int64
+	stop := repeat(10*time.Millisecond, 8*time.Second, func() {
+		if fl.call("/status/popular", "popular").kind == "held" {
+			held.Add(1)
+		}
+	})
+	for range 3 {
+		time.Sleep(500 * time.Millisecond)
+		for _, upstream := range fl.upstreams {
+			upstream.End()
+		}
+		time.Sleep(downFor)
+	}
+	stop()
+	check.Equal(len(fl.log.Ends()), 9)
+	check.Equal(held.Load(), int64(0)) // no request was held back
+	fl.waitReady(len(fl.nodes))
+	check.Equal(fl.call("/status/popular", "popular").status, http.StatusOK)
+}
