Hold back a request that ends the upstreams which run it

Class of fault: evidence that only one node has and that nothing keeps.

Package blame keeps what ran at each end, in bounded memory; the nodes exchange it with their gossip, owners of the same service are told at once, and a node that lacks evidence gets all of it in the reply. A request is held back when it alone explains three ends, at two instances and one after the other, and no upstream has run it to its end since. The entry refuses it at once, not-run, with the end of the hold; the owner refuses it too. One that explains ends at the same time waits a second at each owner; two that explain the same ends run apart until one of them does it alone. A call during whose attempts two upstreams ended gets no third; work lost with its upstream's end is no failure of the next process.

Ruled out by a run of the tests: holding back after three ends, whenever they were: a popular request alone on three upstreams that end together was held back (198 refusals). Holding back only later, without the wait at the owners: 8 of 9 upstreams ended.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"sequoiamill.example/sequoiamill/fault"
@@ -209,14 +210,34 @@
 
 // RefuseQueued refuses all queued work with an error.
 func (ct *Controller) RefuseQueued(err *fault.Error) []types.Effect {
+	return ct.RefuseMatching(func(WorkItem) bool { return true }, err)
+}
+
+// RefuseMatching refuses the queued work for which match returns true.
+func (ct *Controller) RefuseMatching(match func(WorkItem) bool, err *fault.Error) []types.Effect {
 	var effects []types.Effect
+	var kept []QueueItem
 	for _, item := range ct.queue {
-		effects = append(effects, Refuse{Work: item.Work, Err: err})
+		if match(item.Work) {
+			effects = append(effects, Refuse{Work: item.Work, Err: err})
+		} else {
+			kept = append(kept, item)
+		}
 	}
-	ct.queue = nil
+	ct.queue = kept
 	return effects
 }
 
+// Contains reports whether match returns true for any running or queued work item.
+func (ct *Controller) Contains(match func(WorkItem) bool) bool {
+	for _, active := range ct.running {
+		if match(active.work) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(ct.queue, func(item QueueItem) bool { return match(item.Work) })
+}
+
 // TypicalDuration returns how long work on a route usually runs. For a route
 // without observations it falls back to the average over all routes, then to a
 // default.
--- a/codec/peer.go
+++ b/codec/peer.go
@@ -35,6 +35,7 @@
 		HeldBuckets: message.HeldBucketHashes,
 		HeldView:    message.HeldHash,
 		Repair:      message.Repair,
+		Blame:       blameToProto(message.Blame),
 	}
 	for _, report := range message.Reports {
 		wire.Reports = append(wire.Reports, &peerv1.Report{Instance: string(report.ID), Held: uint64(report.HeldVersion)})
@@ -76,6 +77,10 @@
 		}
 		message.Members = append(message.Members, member)
 	}
+	var err error
+	if message.Blame, err = blameFromProto(wire.GetBlame()); err != nil {
+		return fleet.Message{}, trace.Stamp{}, err
+	}
 	stamp := trace.Stamp{Wall: time.UnixMicro(wire.GetStamp().GetWallMicros()), Logical: wire.GetStamp().GetLogical()}
 	return message, stamp, nil
 }
--- a/codec/peer_test.go
+++ b/codec/peer_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sequoiamill.example/sequoiamill/api/peerv1"
+	"sequoiamill.example/sequoiamill/blame"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
@@ -28,6 +29,11 @@
 		Reports:          []fleet.VersionReport{{ID: "b", HeldVersion: 6}},
 		BucketHashes:     []uint64{1, 2},
 		HeldBucketHashes: []uint64{3, 4},
+		Blame: blame.Report{
+			Hash:    13,
+			Crashes: []blame.CrashReport{{Source: "b", Number: 5, Age: time.Second, Runs: []blame.Run{{Content: 7, Elapsed: 50 * time.Millisecond}}}},
+			Clears:  []blame.ClearReport{{Content: 8, Source: "c", Number: 6, Age: time.Minute}},
+		},
 	}
 }
 
@@ -50,6 +56,10 @@
 		"no member name":   func(wire *peerv1.Message) { wire.Members[1].Instance = "" },
 		"unknown state":    func(wire *peerv1.Message) { wire.Members[1].State = 9 },
 		"too many reports": func(wire *peerv1.Message) { wire.Reports = make([]*peerv1.Report, maxMembers+1) },
+		"too many crashes": func(wire *peerv1.Message) { wire.Blame.Crashes = make([]*peerv1.Crash, blame.MaxReported+1) },
+		"too many runs":    func(wire *peerv1.Message) { wire.Blame.Crashes[0].Runs = make([]*peerv1.Run, blame.MaxRuns+1) },
+		"crash of nobody":  func(wire *peerv1.Message) { wire.Blame.Crashes[0].Instance = "" },
+		"clear of nobody":  func(wire *peerv1.Message) { wire.Blame.Clears[0].Instance = "" },
 	}
 	for name, invalidate := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/core/crash.go
+++ b/core/crash.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"sequoiamill.example/sequoiamill/admit"
+	"sequoiamill.example/sequoiamill/blame"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
 )
@@ -17,6 +20,9 @@
 	// maxLoggedRuns is the maximum number of requests in the event of an upstream that
 	// ended.
 	maxLoggedRuns = 16
+	// maxToldFirst is the number of owners of the same service that are told of an end
+	// before other nodes.
+	maxToldFirst = 16
 )
 
 // endedRun is a work item whose connection the upstream's process closed when it ended.
@@ -26,34 +32,135 @@
 	startedAt time.Time
 }
 
-// recordEndedRun notes what the upstream's process ran when it ended. A process that had
-// announced that it leaves or ends was stopped on purpose.
-func (st *State) recordEndedRun(event admit.Ended, now time.Time) []types.Effect {
+// HoldLifted reports that an operator lifts the hold of a request.
+type HoldLifted struct{ Content types.ContentHash }
+
+// Event implements types.Event.
+func (HoldLifted) Event() {}
+
+// Holds returns the requests that are held back, because they end the upstreams that run
+// them.
+func (st *State) Holds(now time.Time) []blame.Hold { return st.blame.Holds(now) }
+
+// recordRun notes how a run at the upstream ended: with the request's end, or with that
+// of the upstream's process. A process that had announced that it leaves was stopped on
+// purpose.
+func (st *State) recordRun(event admit.Ended, now time.Time) []types.Effect {
 	work, startedAt, running := st.admission.RunningSince(event.ID)
-	if !event.UpstreamEnded || !running || !st.upstream.known || st.upstream.announcement.Leaving {
+	if !running {
+		return nil
+	}
+	if event.Complete && event.Outcome == fault.Ran {
+		return st.blameChanged(st.blame.RecordFinished(work.Content, now), nil, now)
+	}
+	if !event.UpstreamEnded || !st.upstream.known || st.upstream.announcement.Leaving {
 		return nil
 	}
 	st.endedRuns = append(st.endedRuns, endedRun{request: work.Request, content: work.Content, startedAt: startedAt})
 	if len(st.endedRuns) > 1 {
 		return nil
 	}
+	st.endedAt = now
 	return []types.Effect{types.SetTimer{Timer: types.Timer{Kind: types.UpstreamEndSettled}, At: now.Add(settleTime)}}
 }
 
-// upstreamEndSettled reports which work ran when the upstream's process ended.
+// upstreamEndSettled records which work ran when the upstream's process ended. The owners
+// of the service's other upstreams are told first: they are the next that may run it.
 func (st *State) upstreamEndSettled(now time.Time) []types.Effect {
-	runs := st.endedRuns
+	ended := st.endedRuns
 	st.endedRuns = nil
-	if len(runs) == 0 {
+	if len(ended) == 0 {
 		return nil
 	}
-	return []types.Effect{trace.Event{Kind: trace.UpstreamEnded, Subject: st.fleet.Self().ID, Detail: describeRuns(runs, now)}}
+	runs := make([]blame.Run, 0, len(ended))
+	for _, run := range ended {
+		runs = append(runs, blame.Run{Content: run.content, Elapsed: max(0, st.endedAt.Sub(run.startedAt))})
+	}
+	event := trace.Event{Kind: trace.UpstreamEnded, Subject: st.fleet.Self().ID, Detail: describeRuns(ended, st.endedAt)}
+	owners := st.fleet.ServiceOwners(st.upstream.announcement.Service)
+	return append([]types.Effect{event}, st.blameChanged(st.blame.RecordCrash(runs, st.endedAt, now), owners[:min(len(owners), maxToldFirst)], now)...)
+}
+
+// evidenceReceived merges the evidence of another node.
+func (st *State) evidenceReceived(report blame.Report, now time.Time) []types.Effect {
+	return st.blameChanged(st.blame.Merge(report, now), nil, now)
+}
+
+func (st *State) holdLifted(content types.ContentHash, now time.Time) []types.Effect {
+	changes, _ := st.blame.Lift(content, now)
+	return st.blameChanged(changes, nil, now)
+}
+
+// blameChanged carries out changes of what is held back. New evidence is spread, to the
+// nodes in first before others.
+func (st *State) blameChanged(changes blame.Changes, first []fleet.Member, now time.Time) []types.Effect {
+	var effects []types.Effect
+	for _, hold := range changes.Held {
+		detail := fmt.Sprintf("content %s ended %d upstreams of %d instances, held until %s", hold.Content, hold.Crashes, hold.Instances, hold.Until.UTC().Format(time.RFC3339))
+		effects = append(effects, trace.Event{Kind: trace.RequestHeld, Subject: st.fleet.Self().ID, Detail: detail})
+		match := func(work admit.WorkItem) bool { return work.Content == hold.Content }
+		effects = append(effects, st.admission.RefuseMatching(match, newHeldError(hold, hold.Until.Sub(now)))...)
+	}
+	for _, content := range changes.Released {
+		effects = append(effects, trace.Event{Kind: trace.RequestReleased, Subject: st.fleet.Self().ID, Detail: "content " + content.String()})
+	}
+	if changes.News {
+		effects = append(effects, st.fleet.Spread(first)...)
+	}
+	return effects
+}
+
+// heldError returns the error with which a request is refused that ends the upstreams
+// which run it, or nil if the request may run.
+func (st *State) heldError(content types.ContentHash, now time.Time) *fault.Error {
+	hold, ok := st.blame.Held(content, now)
+	if !ok {
+		return nil
+	}
+	return newHeldError(hold, hold.Until.Sub(now))
+}
+
+func newHeldError(hold blame.Hold, wait time.Duration) *fault.Error {
+	return fault.New(fault.Held, "the request, content %s, ended %d upstreams that ran it", hold.Content, hold.Crashes).WithRetryAfter(wait)
+}
+
+// suspectError returns the error with which a request that may end upstreams is not run
+// now: it ran when upstreams ended a moment ago, or this upstream runs another request which may
+// have ended the same upstreams.
+func (st *State) suspectError(content types.ContentHash, now time.Time) *fault.Error {
+	if hold, ok := st.blame.Suspected(content, now); ok {
+		return fault.New(fault.Overloaded, "the request, content %s, ran at %d upstreams that ended", content, hold.Crashes).WithRetryAfter(hold.Until.Sub(now))
+	}
+	rival := func(work admit.WorkItem) bool { return st.blame.Rivals(content, work.Content) }
+	if st.blame.Undecided() && st.admission.Contains(rival) {
+		return fault.New(fault.Overloaded, "another request runs that may have ended the same upstreams").WithRetryAfter(defaultRetryAfter)
+	}
+	return nil
+}
+
+// addEvidence adds evidence to the messages among the effects: what this node has learned
+// lately, or all of it in the reply to a node that knows other evidence.
+func (st *State) addEvidence(effects []types.Effect, event types.Event, now time.Time) []types.Effect {
+	for i, effect := range effects {
+		switch ef := effect.(type) {
+		case fleet.SendExchange:
+			ef.Message.Blame = st.blame.Fresh(now)
+			effects[i] = ef
+		case fleet.ReplyExchange:
+			ef.Message.Blame = st.blame.Fresh(now)
+			if received, ok := event.(fleet.ExchangeReceived); ok && received.Message.Blame.Hash != st.blame.Hash() {
+				ef.Message.Blame = st.blame.Full(now)
+			}
+			effects[i] = ef
+		}
+	}
+	return effects
 }
 
-func describeRuns(runs []endedRun, now time.Time) string {
+func describeRuns(runs []endedRun, endedAt time.Time) string {
 	listed := make([]string, 0, maxLoggedRuns)
 	for _, run := range runs[:min(len(runs), maxLoggedRuns)] {
-		listed = append(listed, fmt.Sprintf("%s content %s since %s", run.request, run.content, now.Sub(run.startedAt).Round(time.Millisecond)))
+		listed = append(listed, fmt.Sprintf("%s content %s after %s", run.request, run.content, endedAt.Sub(run.startedAt).Round(time.Millisecond)))
 	}
 	return fmt.Sprintf("while it ran %d requests: %s", len(runs), strings.Join(listed, ", "))
 }
--- a/core/entry.go
+++ b/core/entry.go
@@ -21,6 +21,10 @@
 	if err != nil {
 		return append(effects, refuseCall(event, err)...)
 	}
+	content := event.Content.WithRoute(matched.Name)
+	if err := st.heldError(content, now); err != nil {
+		return append(append(effects, trace.Count{Counter: trace.CallsHeld}), refuseCall(event, err)...)
+	}
 	if len(matched.Split) > 0 {
 		matched = matched.WithService(st.splitter.Choose(matched))
 	}
@@ -30,7 +34,7 @@
 		return append(effects, refuseCall(event, err)...)
 	}
 	call := flow.Call{
-		ID: event.Call, Request: event.Request, Key: event.Key, Content: event.Content.WithRoute(matched.Name),
+		ID: event.Call, Request: event.Request, Key: event.Key, Content: content,
 		Route: matched, Deadline: now.Add(limit), FirstSent: now,
 	}
 	if callerLimit, ok := event.Limit.Get(); ok {
--- a/core/owner.go
+++ b/core/owner.go
@@ -188,13 +188,13 @@
 // be reached, the upstream gets no more work until its next announcement.
 func (st *State) workEnded(event admit.Ended, now time.Time) []types.Effect {
 	effects := st.keys.ledger.RecordEnd(event, now)
-	effects = append(effects, st.recordEndedRun(event, now)...)
+	effects = append(effects, st.recordRun(event, now)...)
 	if event.Err != nil && event.Err.Kind == fault.Unreachable && st.upstream.known && !st.upstream.unreachable {
 		st.upstream.unreachable = true
 		effects = append(effects, trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: event.Err.Message})
 		effects = append(effects, st.refuseQueued(fault.NoUpstream, "the upstream takes no connections")...)
 	}
-	if event.Outcome != fault.NotRun && !st.admission.Aborted(event.ID) {
+	if event.Outcome != fault.NotRun && !event.UpstreamEnded && !st.admission.Aborted(event.ID) {
 		st.upstream.faultShare.Observe(event.ServerFault || !event.Complete, now)
 	}
 	effects = append(effects, st.applyDemand(event.Demand, now)...)
@@ -264,6 +264,9 @@
 
 // workArrived answers, refuses or admits a work item that an entry node sent.
 func (st *State) workArrived(work admit.WorkItem, now time.Time) []types.Effect {
+	if err := st.heldError(work.Content, now); err != nil {
+		return refuseWork(work, err)
+	}
 	if work.Keyed() {
 		if effects, fresh := st.keyedWorkArrived(work, now); !fresh {
 			return effects
@@ -271,16 +274,21 @@
 	}
 	work = st.afterPause(work, now)
 	if err := st.admissionError(work, now); err != nil {
-		return []types.Effect{
-			trace.Count{Counter: trace.WorkShed},
-			trace.Event{Kind: trace.WorkRefused, Request: work.Request, Detail: err.Error()},
-			admit.Refuse{Work: work, Err: err},
-		}
+		return refuseWork(work, err)
 	}
 	work.RequireEcho = st.effectiveRule(st.fleet.Self(), now).rule.RequireEcho
 	return st.admission.Submit(work, now)
 }
 
+// refuseWork returns the effects of refusing a work item on its arrival.
+func refuseWork(work admit.WorkItem, err *fault.Error) []types.Effect {
+	return []types.Effect{
+		trace.Count{Counter: trace.WorkShed},
+		trace.Event{Kind: trace.WorkRefused, Request: work.Request, Detail: err.Error()},
+		admit.Refuse{Work: work, Err: err},
+	}
+}
+
 // admissionError returns the reason why the node can take no work of this kind
 // now, or nil if it can.
 func (st *State) admissionError(work admit.WorkItem, now time.Time) *fault.Error {
@@ -299,6 +307,8 @@
 		return fault.New(fault.Closed, "the upstream is leaving").WithRetryAfter(defaultRetryAfter)
 	case !st.effectiveRule(st.fleet.Self(), now).admits(st.admission.TypicalDuration(work.Route), now):
 		return fault.New(fault.Closed, "the upstream is closed when the work would end").WithRetryAfter(defaultRetryAfter)
+	case st.suspectError(work.Content, now) != nil:
+		return st.suspectError(work.Content, now)
 	case st.pause.maxWaited(now) > 0 && !now.Before(work.Deadline):
 		return fault.New(fault.DeadlineExceeded, "the deadline came while the node was paused").WithRetryAfter(defaultRetryAfter)
 	default:
--- a/core/state.go
+++ b/core/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sequoiamill.example/sequoiamill/admit"
+	"sequoiamill.example/sequoiamill/blame"
 	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/flow"
@@ -41,8 +42,10 @@
 	watching bool
 	stop     stopProgress
 	// endedRuns is the work that broke off when the upstream's process ended, until
-	// its end is reported.
+	// its end is reported, and endedAt the first sign of the end.
 	endedRuns []endedRun
+	endedAt   time.Time
+	blame     *blame.Ledger
 }
 
 type settings struct {
@@ -117,6 +120,7 @@
 		splitter:      route.NewSplitter(se.seed),
 		callerRetries: flow.NewRetryTracker(),
 		policies:      se.policies,
+		blame:         blame.NewLedger(self.ID),
 		stop:          stopProgress{linger: se.linger},
 		poller:        rootPoller{interval: se.pollInterval, rand: rand.New(rand.NewPCG(se.seed, ^se.seed))},
 		record:        recordGate{limit: se.recordReadLimit, open: se.recordReadLimit == 0},
@@ -164,7 +168,8 @@
 	st.recordIncarnation()
 	effects = st.recordKeyOutcomes(append(effects, st.apply(event, now)...))
 	st.updateKeyCoverage(event, now)
-	return append(effects, st.checkDrained(now)...)
+	effects = append(effects, st.checkDrained(now)...)
+	return st.addEvidence(effects, event, now)
 }
 
 func (st *State) apply(event types.Event, now time.Time) []types.Effect {
@@ -175,6 +180,8 @@
 		return st.announced(ev.Announcement, now)
 	case StopRequested:
 		return st.stopRequested(now)
+	case HoldLifted:
+		return st.holdLifted(ev.Content, now)
 	case RetryBudgetChanged:
 		st.calls.SetRetryBudget(ev.RetryBudget)
 		return nil
@@ -224,6 +231,7 @@
 	st.lastTick = now
 	st.record.tick(now)
 	effects := st.fleet.Tick(now)
+	effects = append(effects, st.blameChanged(st.blame.Tick(now), nil, now)...)
 	effects = append(effects, st.timelineEvents(effects, now)...)
 	effects = append(effects, st.refreshUpstream(now)...)
 	effects = append(effects, st.keys.ledger.Sweep(now)...)
@@ -274,8 +282,10 @@
 	switch ev := event.(type) {
 	case fleet.ExchangeReceived:
 		effects = st.fleet.HandleExchangeReceived(ev, now)
+		effects = append(effects, st.evidenceReceived(ev.Message.Blame, now)...)
 	case fleet.ExchangeAnswered:
 		effects = st.fleet.HandleExchangeAnswered(ev, now)
+		effects = append(effects, st.evidenceReceived(ev.Message.Blame, now)...)
 	case fleet.ExchangeFailed:
 		effects = st.fleet.HandleExchangeFailed(ev, now)
 	case fleet.IndirectProbeEnded:
--- a/fault/kind.go
+++ b/fault/kind.go
@@ -33,6 +33,7 @@
 	PlatformUnavailable
 	KeyReused
 	Expired
+	Held
 	kindCount
 )
 
@@ -57,6 +58,7 @@
 	PlatformUnavailable: "platform-unavailable",
 	KeyReused:           "key-reused",
 	Expired:             "expired",
+	Held:                "held",
 }
 
 // String returns the kebab-case name of the kind.
--- a/fault/table.go
+++ b/fault/table.go
@@ -80,6 +80,7 @@
 	PlatformUnavailable: {503, codeUnavailable, NotRun, true, 18},
 	KeyReused:           {409, codeAlreadyExists, NotRun, false, 19},
 	Expired:             {410, codeOutOfRange, NotRun, false, 20},
+	Held:                {503, codeUnavailable, NotRun, false, 21},
 }
 
 // StatusOf returns the Status of an error kind, or that of Internal if the kind
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"sequoiamill.example/sequoiamill/blame"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -31,6 +32,8 @@
 	// receiver replies with its records of each bucket whose hashes differ.
 	BucketHashes     []uint64
 	HeldBucketHashes []uint64
+	// Blame is evidence on requests that end upstreams.
+	Blame blame.Report
 	// Repair is true if the message has the records of the buckets that
 	// differed in an anti-entropy comparison.
 	Repair bool
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -92,6 +92,19 @@
 	return effects
 }
 
+// Spread returns exchanges with the given members and schedules others with a few random
+// peers, to spread what the caller adds to the messages.
+func (tb *Table) Spread(first []Member) []types.Effect {
+	var effects []types.Effect
+	for _, member := range first {
+		if rc, ok := tb.records[member.ID]; ok {
+			effects = append(effects, tb.exchangeWith(rc))
+		}
+	}
+	tb.schedulePush()
+	return append(effects, tb.Push()...)
+}
+
 // checkDeathClaim starts an exchange with one member that a peer reported dead
 // and that is alive in this table.
 func (tb *Table) checkDeathClaim() []types.Effect {
--- a/flow/event.go
+++ b/flow/event.go
@@ -91,6 +91,8 @@
 	Size int
 	// ServerFault is true if the upstream answered with a status of 500 or above.
 	ServerFault bool
+	// UpstreamEnded is true if the upstream's process ended during the attempt.
+	UpstreamEnded bool
 }
 
 // Event implements types.Event.
--- a/flow/finish.go
+++ b/flow/finish.go
@@ -93,7 +93,8 @@
 }
 
 // sampleOf returns the sample of an attempt for the load balancer. An owner node or
-// upstream that could not be reached counts as a failure and not as a refusal.
+// upstream that could not be reached counts as a failure and not as a refusal. An
+// upstream whose process ended is judged by its next process.
 func sampleOf(target route.Candidate, event AttemptEnded) route.Sample {
 	unreached := event.Verdict == Unsent || event.Err != nil && event.Err.Kind == fault.Unreachable
 	return route.Sample{
@@ -102,7 +103,7 @@
 		Elapsed: event.Elapsed,
 		Size:    event.Size,
 		Load:    event.Load,
-		Refused: event.Verdict == NotRun && !unreached,
+		Refused: event.Verdict == NotRun && !unreached || event.UpstreamEnded,
 		Failed:  event.Verdict == Lost || unreached,
 	}
 }
--- a/flow/table.go
+++ b/flow/table.go
@@ -14,6 +14,9 @@
 	// defaultUpstreams is the maximum number of upstreams that a call is sent to
 	// if the call's route sets no maximum.
 	defaultUpstreams = 4
+	// maxEndedUpstreams is the number of upstreams that may end during the attempts
+	// at a call before it gets no further attempt.
+	maxEndedUpstreams = 2
 	// maxAttempts bounds the attempts of a call, including those that an owner
 	// node refused.
 	maxAttempts = 6
@@ -97,6 +100,8 @@
 	// reached counts the failed attempts that reached an upstream or may have
 	// reached one.
 	reached int
+	// endedUpstreams counts the upstreams that ended during an attempt.
+	endedUpstreams int
 	// lastTarget is the owner node of the most recent attempt.
 	lastTarget types.InstanceID
 	// lost is true if an attempt ended as Lost, so that its work may have run.
@@ -233,6 +238,9 @@
 	if event.RefusedByUpstream || event.Verdict == Lost {
 		cs.reached++
 	}
+	if event.UpstreamEnded {
+		cs.endedUpstreams++
+	}
 	if event.Verdict == Lost {
 		cs.lost = true
 	} else {
@@ -277,7 +285,7 @@
 	if !now.Add(typical).Before(cs.call.Deadline) {
 		return tb.fail(cs, cs.finalError(), now)
 	}
-	if cs.reached >= cs.maxUpstreams() {
+	if cs.reached >= cs.maxUpstreams() || cs.endedUpstreams >= maxEndedUpstreams {
 		return tb.fail(cs, cs.finalError(), now)
 	}
 	if cs.reached > 0 && !tb.serviceBudget(cs.call.Route.Service).takeRepeat(tb.nodeBudget(), now) {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -230,7 +230,8 @@
 		Elapsed:           ended.Sub(start),
 		Size:              len(result.Response.Body),
 
-		ServerFault: result.Response.Status >= http.StatusInternalServerError,
+		ServerFault:   result.Response.Status >= http.StatusInternalServerError,
+		UpstreamEnded: result.UpstreamEnded,
 	})
 }
 
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -89,6 +89,8 @@
 	// headerContent identifies the request when it comes again, as a
 	// types.ContentHash.
 	headerContent = "Sequoiamill-Content"
+	// headerUpstreamEnded is set if the upstream's process ended during the attempt.
+	headerUpstreamEnded = "Sequoiamill-Upstream-Ended"
 )
 
 // SetFlag is the value of a header of an upstream that is either set or absent.
@@ -350,6 +352,9 @@
 	if result.KeyDeclined {
 		header.Set(headerKeyDeclined, "true")
 	}
+	if result.UpstreamEnded {
+		header.Set(headerUpstreamEnded, "true")
+	}
 	if length, ok := result.Response.ContentLength.Get(); ok {
 		header.Set(headerContentLength, strconv.FormatInt(length, 10))
 	}
@@ -396,6 +401,7 @@
 		result.RefusedByUpstream = header.Get(headerRefusedByUpstream) != ""
 	default:
 		result.Verdict = flow.Lost
+		result.UpstreamEnded = header.Get(headerUpstreamEnded) != ""
 	}
 	result.Err = parseError(header, body)
 	return result, nil
--- a/trace/count.go
+++ b/trace/count.go
@@ -9,6 +9,7 @@
 	CallsDelivered
 	CallsFailed
 	CallsCanceled
+	CallsHeld
 	AttemptsStarted
 	AttemptsRetried
 	AttemptsHedged
@@ -38,6 +39,7 @@
 	CallsDelivered:      "calls_delivered",
 	CallsFailed:         "calls_failed",
 	CallsCanceled:       "calls_canceled",
+	CallsHeld:           "calls_held",
 	AttemptsStarted:     "attempts_started",
 	AttemptsRetried:     "attempts_retried",
 	AttemptsHedged:      "attempts_hedged",
--- a/trace/event.go
+++ b/trace/event.go
@@ -53,6 +53,8 @@
 	PlatformRecovered
 	RateLimitChanged
 	UpstreamEnded
+	RequestHeld
+	RequestReleased
 	kindCount
 )
 
@@ -89,6 +91,8 @@
 	PlatformRecovered:   "platform-regained",
 	RateLimitChanged:    "rate-limit-changed",
 	UpstreamEnded:       "upstream-ended",
+	RequestHeld:         "request-held",
+	RequestReleased:     "request-released",
 }
 
 // String returns the kebab-case name of the kind, which the timeline shows.
