Count work that was given up shortly before its upstream ended

By reading: a caller that leaves, or a deadline that passes, takes the request that ends an upstream out of the work that breaks off with it. What the owner gave up within the second before counts too, and an end that only a refused connection shows is reported.

--- a/blame/ledger.go
+++ b/blame/ledger.go
@@ -141,7 +141,7 @@
 	if _, ok := ld.Held(content, now); !ok {
 		return Changes{}, false
 	}
-	ld.addClear(content, clearance{id: crashID{source: ld.self, number: ld.nextNumber(now)}, at: now, learnedAt: now})
+	ld.addClear(content, ld.newClearance(content, now, now))
 	return ld.update(now), true
 }
 
@@ -231,6 +231,13 @@
 	})
 }
 
+// newClearance clears a request of the crashes up to a time. Its number is above that of
+// the request's earlier clear, whatever the clock of that node was.
+func (ld *Ledger) newClearance(content types.ContentHash, at, now time.Time) clearance {
+	number := max(ld.nextNumber(now), ld.clears[content].id.number+1)
+	return clearance{id: crashID{source: ld.self, number: number}, at: at, learnedAt: now}
+}
+
 // addClear records a clear. Of two clears of one request, the one with the higher number
 // is kept, with the later time.
 func (ld *Ledger) addClear(content types.ContentHash, record clearance) {
@@ -264,7 +271,7 @@
 	}
 	for _, record := range ld.crashes {
 		if !record.endedAt.After(at) && record.endedAt.After(ld.clears[content].at) && record.ran(content) {
-			ld.addClear(content, clearance{id: crashID{source: ld.self, number: ld.nextNumber(now)}, at: at, learnedAt: now})
+			ld.addClear(content, ld.newClearance(content, at, now))
 			return true
 		}
 	}
--- a/blame/report.go
+++ b/blame/report.go
@@ -57,6 +57,9 @@
 
 func (ld *Ledger) report(now time.Time, include func(learnedAt time.Time) bool) Report {
 	report := Report{Hash: ld.hash}
+	if len(ld.crashes) == 0 && len(ld.clears) == 0 {
+		return report
+	}
 	for _, id := range ld.byWeight() {
 		record := ld.crashes[id]
 		if include(record.learnedAt) && len(report.Crashes) < MaxReported {
--- a/core/entry.go
+++ b/core/entry.go
@@ -22,7 +22,8 @@
 		return append(effects, refuseCall(event, err)...)
 	}
 	content := event.Content.WithRoute(matched.Name)
-	if err := st.heldError(content, now); err != nil {
+	if hold, ok := st.blame.Held(content, now); ok {
+		err := newHeldError(event.Target.Method+" "+event.Target.Path, hold, now)
 		return append(append(effects, trace.Count{Counter: trace.CallsHeld}), refuseCall(event, err)...)
 	}
 	if len(matched.Split) > 0 {
--- a/core/owner.go
+++ b/core/owner.go
@@ -264,8 +264,8 @@
 
 // workArrived answers, refuses or admits a work item that an entry node sent.
 func (st *State) workArrived(work admit.WorkItem, now time.Time) []types.Effect {
-	if err := st.heldError(work.Content, now); err != nil {
-		return refuseWork(work, err)
+	if hold, ok := st.blame.Held(work.Content, now); ok {
+		return refuseWork(work, newHeldError("the request", hold, now))
 	}
 	if work.Keyed() {
 		if effects, fresh := st.keyedWorkArrived(work, now); !fresh {
--- a/core/state.go
+++ b/core/state.go
@@ -41,11 +41,8 @@
 	// watching is true while the node watches the platform's root.
 	watching bool
 	stop     stopProgress
-	// endedRuns is the work that broke off when the upstream's process ended, until
-	// its end is reported, and endedAt the first sign of the end.
-	endedRuns []endedRun
-	endedAt   time.Time
-	blame     *blame.Ledger
+	lost     lostRuns
+	blame    *blame.Ledger
 }
 
 type settings struct {
--- a/types/types.go
+++ b/types/types.go
@@ -75,9 +75,8 @@
 // WithRoute returns the hash of a request on a route, given that of its other parts. It
 // is never 0.
 func (h ContentHash) WithRoute(route RouteName) ContentHash {
-	hash := xxhash.NewWithSeed(uint64(h))
-	_, _ = hash.WriteString(string(route))
-	return ContentHash(max(hash.Sum64(), 1))
+	const mix = 0x9e3779b97f4a7c15
+	return ContentHash(max(xxhash.Sum64String(string(route))+uint64(h)*mix, 1))
 }
 
 // String returns the hash in hexadecimal.
