Let operators see and lift the hold of a request

Two calls of the operators' interface, Holds and Release, and two commands; a hold that is lifted at one node is lifted on all, and what ended before no longer counts.

--- a/admin/server.go
+++ b/admin/server.go
@@ -10,6 +10,7 @@
 
 	"sequoiamill.example/sequoiamill/api/opsv1"
 	"sequoiamill.example/sequoiamill/api/opsv1/opsv1connect"
+	"sequoiamill.example/sequoiamill/blame"
 	"sequoiamill.example/sequoiamill/codec"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
@@ -47,6 +48,11 @@
 	OnPublished func(version types.Version)
 	// Timeline returns the events that this node recorded.
 	Timeline func(filter trace.Filter) []trace.Entry
+	// Holds returns the requests that are held back.
+	Holds func() []blame.Hold
+	// Release lifts the hold of a request. It returns an error of kind NotFound if the
+	// request is not held back.
+	Release func(content types.ContentHash) error
 	// Collect returns the events that a peer recorded.
 	Collect func(ctx context.Context, address types.Address, request *opsv1.TimelineRequest) ([]trace.Entry, error)
 }
--- a/api/opsv1/opsv1connect/ops.connect.go
+++ b/api/opsv1/opsv1connect/ops.connect.go
@@ -45,6 +45,10 @@
 	OperatorWaitProcedure = "/sequoiamill.ops.v1.Operator/Wait"
 	// OperatorTimelineProcedure is the fully-qualified name of the Operator's Timeline RPC.
 	OperatorTimelineProcedure = "/sequoiamill.ops.v1.Operator/Timeline"
+	// OperatorHoldsProcedure is the fully-qualified name of the Operator's Holds RPC.
+	OperatorHoldsProcedure = "/sequoiamill.ops.v1.Operator/Holds"
+	// OperatorReleaseProcedure is the fully-qualified name of the Operator's Release RPC.
+	OperatorReleaseProcedure = "/sequoiamill.ops.v1.Operator/Release"
 )
 
 // OperatorClient is a client for the sequoiamill.ops.v1.Operator service.
@@ -61,6 +65,12 @@
 	// Timeline returns the events of all reachable nodes, merged in the order of
 	// their timestamps.
 	Timeline(context.Context, *connect.Request[opsv1.TimelineRequest]) (*connect.Response[opsv1.TimelineResponse], error)
+	// Holds returns the requests that are held back, because they end the upstreams
+	// which run them.
+	Holds(context.Context, *connect.Request[opsv1.HoldsRequest]) (*connect.Response[opsv1.HoldsResponse], error)
+	// Release lifts the hold of a request on all nodes. What ended before no longer
+	// counts against the request.
+	Release(context.Context, *connect.Request[opsv1.ReleaseRequest]) (*connect.Response[opsv1.ReleaseResponse], error)
 }
 
 // NewOperatorClient constructs a client for the sequoiamill.ops.v1.Operator service. By default, it
@@ -104,6 +114,18 @@
 			connect.WithSchema(operatorMethods.ByName("Timeline")),
 			connect.WithClientOptions(opts...),
 		),
+		holds: connect.NewClient[opsv1.HoldsRequest, opsv1.HoldsResponse](
+			httpClient,
+			baseURL+OperatorHoldsProcedure,
+			connect.WithSchema(operatorMethods.ByName("Holds")),
+			connect.WithClientOptions(opts...),
+		),
+		release: connect.NewClient[opsv1.ReleaseRequest, opsv1.ReleaseResponse](
+			httpClient,
+			baseURL+OperatorReleaseProcedure,
+			connect.WithSchema(operatorMethods.ByName("Release")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -114,6 +136,8 @@
 	status   *connect.Client[opsv1.StatusRequest, opsv1.StatusResponse]
 	wait     *connect.Client[opsv1.WaitRequest, opsv1.WaitResponse]
 	timeline *connect.Client[opsv1.TimelineRequest, opsv1.TimelineResponse]
+	holds    *connect.Client[opsv1.HoldsRequest, opsv1.HoldsResponse]
+	release  *connect.Client[opsv1.ReleaseRequest, opsv1.ReleaseResponse]
 }
 
 // Get calls sequoiamill.ops.v1.Operator.Get.
@@ -141,6 +165,16 @@
 	return c.timeline.CallUnary(ctx, req)
 }
 
+// Holds calls sequoiamill.ops.v1.Operator.Holds.
+func (c *operatorClient) Holds(ctx context.Context, req *connect.Request[opsv1.HoldsRequest]) (*connect.Response[opsv1.HoldsResponse], error) {
+	return c.holds.CallUnary(ctx, req)
+}
+
+// Release calls sequoiamill.ops.v1.Operator.Release.
+func (c *operatorClient) Release(ctx context.Context, req *connect.Request[opsv1.ReleaseRequest]) (*connect.Response[opsv1.ReleaseResponse], error) {
+	return c.release.CallUnary(ctx, req)
+}
+
 // OperatorHandler is an implementation of the sequoiamill.ops.v1.Operator service.
 type OperatorHandler interface {
 	// Get returns the configuration stored on the platform.
@@ -155,6 +189,12 @@
 	// Timeline returns the events of all reachable nodes, merged in the order of
 	// their timestamps.
 	Timeline(context.Context, *connect.Request[opsv1.TimelineRequest]) (*connect.Response[opsv1.TimelineResponse], error)
+	// Holds returns the requests that are held back, because they end the upstreams
+	// which run them.
+	Holds(context.Context, *connect.Request[opsv1.HoldsRequest]) (*connect.Response[opsv1.HoldsResponse], error)
+	// Release lifts the hold of a request on all nodes. What ended before no longer
+	// counts against the request.
+	Release(context.Context, *connect.Request[opsv1.ReleaseRequest]) (*connect.Response[opsv1.ReleaseResponse], error)
 }
 
 // NewOperatorHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -194,6 +234,18 @@
 		connect.WithSchema(operatorMethods.ByName("Timeline")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorHoldsHandler := connect.NewUnaryHandler(
+		OperatorHoldsProcedure,
+		svc.Holds,
+		connect.WithSchema(operatorMethods.ByName("Holds")),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorReleaseHandler := connect.NewUnaryHandler(
+		OperatorReleaseProcedure,
+		svc.Release,
+		connect.WithSchema(operatorMethods.ByName("Release")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/sequoiamill.ops.v1.Operator/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorGetProcedure:
@@ -206,6 +258,10 @@
 			operatorWaitHandler.ServeHTTP(w, r)
 		case OperatorTimelineProcedure:
 			operatorTimelineHandler.ServeHTTP(w, r)
+		case OperatorHoldsProcedure:
+			operatorHoldsHandler.ServeHTTP(w, r)
+		case OperatorReleaseProcedure:
+			operatorReleaseHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -234,3 +290,11 @@
 func (UnimplementedOperatorHandler) Timeline(context.Context, *connect.Request[opsv1.TimelineRequest]) (*connect.Response[opsv1.TimelineResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sequoiamill.ops.v1.Operator.Timeline is not implemented"))
 }
+
+func (UnimplementedOperatorHandler) Holds(context.Context, *connect.Request[opsv1.HoldsRequest]) (*connect.Response[opsv1.HoldsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sequoiamill.ops.v1.Operator.Holds is not implemented"))
+}
+
+func (UnimplementedOperatorHandler) Release(context.Context, *connect.Request[opsv1.ReleaseRequest]) (*connect.Response[opsv1.ReleaseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sequoiamill.ops.v1.Operator.Release is not implemented"))
+}
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -20,6 +20,7 @@
 	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/core"
 	"sequoiamill.example/sequoiamill/fakes"
+	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/flow"
 	"sequoiamill.example/sequoiamill/node"
 	"sequoiamill.example/sequoiamill/plat"
@@ -227,6 +228,7 @@
 	check.True(late <= maxLateRuns)            // it reaches few of them later
 	check.Equal(lateUnserved, nil)             // what ran beside it is served
 	fl.checkHeld(check)
+	fl.checkRelease(check)
 }
 
 // checkHeld checks that the request which ends upstreams is refused by every node, also
@@ -247,6 +249,26 @@
 	check.Equal(len(fl.log.Runs()), runs)
 }
 
+// checkRelease checks that an operator sees the hold and lifts it at one node for all.
+func (fl *crashFleet) checkRelease(check *is.I) {
+	check.Helper()
+	holds, err := fl.operator().Holds(fl.ctx, connect.NewRequest(&opsv1.HoldsRequest{}))
+	check.NoErr(err)
+	check.Equal(len(holds.Msg.GetHolds()), 1)
+	content := holds.Msg.GetHolds()[0].GetContent()
+	for text, kind := range map[string]fault.Kind{"x": fault.InvalidInput, "0": fault.NotFound} {
+		_, err = fl.operator().Release(fl.ctx, connect.NewRequest(&opsv1.ReleaseRequest{Content: text}))
+		check.True(fault.Is(codec.FaultFromRPC(err), kind))
+	}
+	_, err = fl.operator().Release(fl.ctx, connect.NewRequest(&opsv1.ReleaseRequest{Content: content}))
+	check.NoErr(err)
+	runs := len(fl.log.Runs())
+	for deadline := time.Now().Add(fleetWait); len(fl.log.Runs()) == runs && time.Now().Before(deadline); {
+		fl.callNode(fl.nodes[len(fl.nodes)-1], crashPath, crashBody)
+	}
+	check.True(len(fl.log.Runs()) > runs)
+}
+
 // TestRequestsThatRanWhenUpstreamsEndedAreServed guards against holding back a request
 // that only ran when upstreams ended for another reason, all of them again and again.
 func TestRequestsThatRanWhenUpstreamsEndedAreServed(t *testing.T) {
--- a/node/gauge.go
+++ b/node/gauge.go
@@ -22,6 +22,7 @@
 	register("work_waiting", func(state *core.State) int { return state.Load(nd.now()).Queued })
 	nd.metrics.set.NewGauge("sequoiamill_upstream_fault_share", func() float64 { return nd.load().FaultShare })
 	register("upstream_rate_limited", func(state *core.State) int { return boolToInt(state.RateLimited()) })
+	register("requests_held", func(state *core.State) int { return len(state.Holds(nd.now())) })
 	register("keys_held", func(state *core.State) int { return state.KeyCount() })
 	for _, status := range []fleet.Status{fleet.Alive, fleet.Suspect, fleet.Dead, fleet.Left} {
 		register(`members{state="`+status.String()+`"}`, func(state *core.State) int { return countMembers(state, status) })
--- a/node/handler.go
+++ b/node/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -11,6 +12,7 @@
 	"sequoiamill.example/sequoiamill/admin"
 	"sequoiamill.example/sequoiamill/api/opsv1"
 	"sequoiamill.example/sequoiamill/api/opsv1/opsv1connect"
+	"sequoiamill.example/sequoiamill/blame"
 	"sequoiamill.example/sequoiamill/codec"
 	"sequoiamill.example/sequoiamill/core"
 	"sequoiamill.example/sequoiamill/fault"
@@ -42,10 +44,26 @@
 		Now:         nd.now,
 		OnPublished: nd.onPublished,
 		Timeline:    nd.ring.Select,
+		Holds:       nd.holds,
+		Release:     nd.release,
 		Collect:     nd.fetchTimeline,
 	})
 }
 
+func (nd *Node) holds() []blame.Hold {
+	var holds []blame.Hold
+	nd.loop.read(func(state *core.State) { holds = state.Holds(nd.now()) })
+	return holds
+}
+
+func (nd *Node) release(content types.ContentHash) error {
+	if !slices.ContainsFunc(nd.holds(), func(hold blame.Hold) bool { return hold.Content == content }) {
+		return fault.New(fault.NotFound, "the request with the content %s is not held back", content)
+	}
+	nd.loop.post(core.HoldLifted{Content: content})
+	return nil
+}
+
 func (nd *Node) publisher() *admin.Publisher {
 	floor := func() types.Version { return nd.view().HighestVersion() }
 	return admin.NewPublisher(nd.store, admin.WithHeld(nd.bundle), admin.WithFloor(floor))
--- a/verbs/main.go
+++ b/verbs/main.go
@@ -25,6 +25,8 @@
 	Get      getCmd      `cmd:"" help:"Print the configuration that the platform holds."`
 	Status   statusCmd   `cmd:"" help:"Print which nodes hold which version."`
 	Timeline timelineCmd `cmd:"" help:"Print the events of all nodes in order."`
+	Holds    holdsCmd    `cmd:"" help:"Print the requests that are held back because they end the upstreams that run them."`
+	Release  releaseCmd  `cmd:"" help:"Lift the hold of a request."`
 	Demo     demoCmd     `cmd:"" help:"Run a small mesh in one process and show what it does."`
 	Version  versionCmd  `cmd:"" help:"Print the version of the program."`
 }
