Try a held request again after a minute, and double the time with each crash

By reading: a release of an upstream that ends with any request holds back a request that all callers send alike for 15 minutes, also after the release is taken back. A minute bounds that; a request that goes on ending upstreams costs one run or two at each end of its hold, which doubles up to 16 minutes.

--- a/blame/ledger.go
+++ b/blame/ledger.go
@@ -31,10 +31,12 @@
 )
 
 const (
-	// holdTime is how long after its latest crash a request is held back.
-	holdTime = 15 * time.Minute
-	// retention is how long a crash is remembered. A request that goes on ending
-	// upstreams after its hold is held back again with the first crash.
+	// firstHold is how long after its latest crash a request is held back. It may run
+	// again then, as the cause may have been a fault of the upstreams that is mended.
+	// Each further crash after a hold doubles the time, up to longestHold.
+	firstHold   = time.Minute
+	longestHold = 16 * time.Minute
+	// retention is how long a crash is remembered.
 	retention = time.Hour
 	// maxCrashes, maxClears and maxFinished bound the records of a ledger.
 	maxCrashes  = 128
--- a/blame/verdict.go
+++ b/blame/verdict.go
@@ -122,7 +122,7 @@
 			since[content] = before
 		}
 		if inSeries(su.alone) {
-			result.held[content] = newHold(content, su.alone, since[content], holdTime)
+			result.held[content] = newHold(content, su.alone, since[content], holdTime(su.alone))
 		} else {
 			result.suspected[content] = newHold(content, su.alone, since[content], minGap)
 		}
@@ -184,6 +184,23 @@
 	return Hold{Content: content, Crashes: len(runs), Instances: countSources(runs), From: since.Add(confirmTime), Until: latest.Add(length)}
 }
 
+// holdTime returns how long a request is held back that ran at the given crashes, some of
+// them after earlier holds.
+func holdTime(runs []suspectRun) time.Duration {
+	ends := make([]time.Time, 0, len(runs))
+	for _, run := range runs {
+		ends = append(ends, run.endedAt)
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	hold := firstHold
+	for i := 1; i < len(ends); i++ {
+		if ends[i].Sub(ends[i-1]) >= firstHold && hold < longestHold {
+			hold *= 2
+		}
+	}
+	return hold
+}
+
 func countSources(runs []suspectRun) int {
 	sources := map[types.InstanceID]bool{}
 	for _, run := range runs {
