--- a/blame/ledger_test.go
+++ b/blame/ledger_test.go
@@ -216,10 +216,10 @@
 	ns.wait(time.Minute)
 	check.Equal(ns.held(t), nil)
 	check.Equal(ns.ledgers[0].Tick(ns.now).Released, []types.ContentHash{culprit})
-	for _, length := range []time.Duration{2, 4, 8, 16, 16} {
+	for _, length := range []time.Duration{2 * time.Minute, 4 * time.Minute, 8 * time.Minute, 16 * time.Minute, 16 * time.Minute} {
 		ns.crash(0, culprit)
 		check.Equal(ns.held(t), []types.ContentHash{culprit}) // one more crash is enough
-		ns.wait((length - 1) * time.Minute)
+		ns.wait(length - time.Minute)
 		check.Equal(ns.held(t), []types.ContentHash{culprit})
 		ns.wait(time.Minute)
 		check.Equal(ns.held(t), nil)
