Keep the evidence for holds in the nodes' records

A node whose upstream it ended writes that end into its record on the platform, with the requests held back for it only, as the others may have been cleared since, and gives it back to the fleet when it reads its record after a restart. No call more than the write of the record, which happens when it changes.

node.TestHoldOutlivesARestartOfAllNodes fails when the ends in a record are not read; blame.TestHoldOutlivesARestartOfAllNodes. The drill's test logs how many of the other requests were served.

--- a/blame/ledger_test.go
+++ b/blame/ledger_test.go
@@ -248,6 +248,31 @@
 	check.Equal(contentsOf(joined.Holds(ns.now.Add(time.Second))), contentsOf(ns.ledgers[0].Holds(ns.now.Add(time.Second))))
 }
 
+// TestHoldOutlivesARestartOfAllNodes checks that the crashes which nodes have on record are
+// enough to hold back the same requests, and that those cleared since are not on record.
+func TestHoldOutlivesARestartOfAllNodes(t *testing.T) {
+	check := is.New(t)
+	ns := newNodes(4)
+	for node := range 3 {
+		ns.crash(node, culprit, bystander)
+		ns.wait(time.Second)
+		ns.finish(3, bystander)
+	}
+	check.Equal(ns.held(t), []types.ContentHash{culprit})
+	restarted := newNodes(4)
+	restarted.now = ns.now.Add(5 * time.Second)
+	for node, ledger := range ns.ledgers {
+		restarted.ledgers[node].Restore(ledger.Stored(ns.now), restarted.now)
+		restarted.spread(node)
+	}
+	check.Equal(restarted.held(t), []types.ContentHash{culprit})
+	restarted.finish(3, culprit)
+	check.Equal(restarted.held(t), nil)
+	for _, ledger := range restarted.ledgers {
+		check.Equal(len(ledger.Stored(restarted.now)), 0)
+	}
+}
+
 // TestLedgersAgreeAfterAnyOrderOfReports checks that the verdicts depend on the evidence
 // only, not on the order in which a node learns of it.
 func TestLedgersAgreeAfterAnyOrderOfReports(t *testing.T) {
--- a/core/crash.go
+++ b/core/crash.go
@@ -57,6 +57,9 @@
 // them.
 func (st *State) Holds(now time.Time) []blame.Hold { return st.blame.Holds(now) }
 
+// StoredCrashes returns the evidence that this node's record on the platform is to hold.
+func (st *State) StoredCrashes(now time.Time) []blame.StoredCrash { return st.blame.Stored(now) }
+
 // recordRun notes how a run at the upstream ended: with the request's end, with that of
 // the upstream's process, or given up by this node.
 func (st *State) recordRun(event admit.Ended, now time.Time) []types.Effect {
--- a/core/departure.go
+++ b/core/departure.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sequoiamill.example/sequoiamill/blame"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
@@ -17,10 +18,11 @@
 func (RecordDeparture) Effect() {}
 
 // RecordRead reports that this node's record on the platform was read or
-// written. Departure is the one that an earlier process of this node recorded, if
-// any.
+// written. Departure and Crashes are those that an earlier process of this node
+// recorded, if any.
 type RecordRead struct {
 	Departure types.Option[fleet.Departure]
+	Crashes   []blame.StoredCrash
 }
 
 // Event implements types.Event.
@@ -50,10 +52,10 @@
 // recordRead applies the departure in this node's record on the platform.
 func (st *State) recordRead(event RecordRead, now time.Time) []types.Effect {
 	st.record.open = true
-	var effects []types.Effect
+	effects := st.blameChanged(st.blame.Restore(event.Crashes, now), nil, now)
 	if departure, ok := event.Departure.Get(); ok {
 		st.fleet.SetDeparture(departure)
-		effects = st.departureLearned(departure, now)
+		effects = append(effects, st.departureLearned(departure, now)...)
 	}
 	return append(effects, st.refreshUpstream(now)...)
 }
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -51,18 +51,29 @@
 	client    *http.Client
 	tried     atomic.Uint64
 	running   sync.WaitGroup
+	// stop stops all nodes and waits until they have ended.
+	stop func()
 }
 
 func newCrashFleet(t *testing.T, size int) *crashFleet {
+	t.Helper()
+	fl := startCrashFleet(t, size, plat.NewMemory().Store())
+	fl.publish()
+	fl.waitReady(size)
+	return fl
+}
+
+// startCrashFleet starts the nodes of a fleet whose configuration is not known yet to be
+// in force.
+func startCrashFleet(t *testing.T, size int, store *plat.Store) *crashFleet {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	fl := &crashFleet{t: t, ctx: ctx, store: plat.NewMemory().Store(), client: &http.Client{Timeout: 2 * callLimit}}
-	t.Cleanup(func() { cancel(); fl.running.Wait() })
+	fl := &crashFleet{t: t, ctx: ctx, store: store, client: &http.Client{Timeout: 2 * callLimit}}
+	fl.stop = func() { cancel(); fl.running.Wait() }
+	t.Cleanup(fl.stop)
 	for range size {
 		fl.join()
 	}
-	fl.publish()
-	fl.waitReady(size)
 	return fl
 }
 
@@ -205,12 +216,17 @@
 	began := time.Now()
 	var mu sync.Mutex
 	var lateUnserved []string
+	var plain, served atomic.Int64
 	stop := repeat(150*time.Millisecond, length, func() { fl.call(crashPath, crashBody) })
 	var bystanders []func()
 	for caller := range 6 {
 		bystanders = append(bystanders, repeat(60*time.Millisecond, length, func() {
 			sent := time.Now()
 			got := fl.call("/status/plain", fmt.Sprint("plain ", caller))
+			plain.Add(1)
+			if got.status == http.StatusOK {
+				served.Add(1)
+			}
 			if got.status != http.StatusOK && (got.kind == "held" || sent.Sub(began) > stability+downFor+time.Second) {
 				mu.Lock()
 				lateUnserved = append(lateUnserved, fmt.Sprint(sent.Sub(began).Round(time.Millisecond), got))
@@ -223,7 +239,7 @@
 		wait()
 	}
 	late := fl.log.RunsAfter(maxEnded, stability)
-	t.Logf("%d upstreams ended, %d runs later than %s after the third", len(fl.log.Ends()), late, stability)
+	t.Logf("%d upstreams ended, %d runs later than %s after the third, %d of %d other requests served", len(fl.log.Ends()), late, stability, served.Load(), plain.Load())
 	check.True(len(fl.log.Ends()) >= maxEnded) // the request ends upstreams
 	check.True(late <= maxLateRuns)            // it reaches few of them later
 	check.Equal(lateUnserved, nil)             // what ran beside it is served
@@ -252,15 +268,14 @@
 // checkRelease checks that an operator sees the hold and lifts it at one node for all.
 func (fl *crashFleet) checkRelease(check *is.I) {
 	check.Helper()
-	holds, err := fl.operator().Holds(fl.ctx, connect.NewRequest(&opsv1.HoldsRequest{}))
-	check.NoErr(err)
-	check.Equal(len(holds.Msg.GetHolds()), 1)
-	content := holds.Msg.GetHolds()[0].GetContent()
+	holds := fl.holds(check, 0)
+	check.Equal(len(holds), 1)
+	content := holds[0].GetContent()
 	for text, kind := range map[string]fault.Kind{"x": fault.InvalidInput, "0": fault.NotFound} {
-		_, err = fl.operator().Release(fl.ctx, connect.NewRequest(&opsv1.ReleaseRequest{Content: text}))
+		_, err := fl.operator().Release(fl.ctx, connect.NewRequest(&opsv1.ReleaseRequest{Content: text}))
 		check.True(fault.Is(codec.FaultFromRPC(err), kind))
 	}
-	_, err = fl.operator().Release(fl.ctx, connect.NewRequest(&opsv1.ReleaseRequest{Content: content}))
+	_, err := fl.operator().Release(fl.ctx, connect.NewRequest(&opsv1.ReleaseRequest{Content: content}))
 	check.NoErr(err)
 	runs := len(fl.log.Runs())
 	for deadline := time.Now().Add(fleetWait); len(fl.log.Runs()) == runs && time.Now().Before(deadline); {
@@ -293,3 +308,58 @@
 	fl.waitReady(len(fl.nodes))
 	check.Equal(fl.call("/status/popular", "popular").status, http.StatusOK)
 }
+
+// TestHoldOutlivesARestartOfAllNodes guards against a request that ends upstreams anew
+// after all nodes were killed at once, as only they know of it.
+func TestHoldOutlivesARestartOfAllNodes(t *testing.T) {
+	check := is.New(t)
+	const size = 3
+	fl := newCrashFleet(t, size)
+	wait := repeat(150*time.Millisecond, 5*time.Second, func() { fl.call(crashPath, crashBody) })
+	wait()
+	check.Equal(len(fl.holds(check, 0)), 1)
+	records := fl.recordsWithCrashes()
+	fl.stop()
+	for _, record := range records { // a node that is killed leaves its record
+		left, _ := fl.store.Get(context.Background(), record.Name)
+		record.Revision = left.Revision
+		_, err := fl.store.Put(context.Background(), record)
+		check.NoErr(err)
+	}
+	restarted := startCrashFleet(t, size, fl.store)
+	restarted.waitReady(size)
+	for node := range restarted.nodes {
+		for deadline := time.Now().Add(fleetWait); len(restarted.holds(check, node)) == 0 && time.Now().Before(deadline); {
+			time.Sleep(50 * time.Millisecond)
+		}
+		check.Equal(restarted.callNode(restarted.nodes[node], crashPath, crashBody).kind, "held")
+	}
+	check.Equal(len(restarted.log.Runs()), 0)
+}
+
+func (fl *crashFleet) holds(check *is.I, node int) []*opsv1.Hold {
+	check.Helper()
+	client := opsv1connect.NewOperatorClient(fl.client, "http://"+string(fl.nodes[node].AdminAddress()))
+	holds, err := client.Holds(fl.ctx, connect.NewRequest(&opsv1.HoldsRequest{}))
+	check.NoErr(err)
+	return holds.Msg.GetHolds()
+}
+
+// recordsWithCrashes waits until the records of all nodes hold crashes, and returns them.
+func (fl *crashFleet) recordsWithCrashes() []plat.Object {
+	fl.t.Helper()
+	for deadline := time.Now().Add(fleetWait); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		objects, err := fl.store.List(fl.ctx, plat.RecordKind)
+		with := 0
+		for _, object := range objects {
+			if strings.Contains(string(object.Body), `"crashes"`) {
+				with++
+			}
+		}
+		if err == nil && with == len(fl.nodes) {
+			return objects
+		}
+	}
+	fl.t.Fatal("no record of the crashes")
+	return nil
+}
--- a/node/directory.go
+++ b/node/directory.go
@@ -99,11 +99,12 @@
 
 // needsRecord reports whether the directory must have a record of this node. It needs
 // one of each delegate, through which starting nodes find the fleet, and of each node
-// that must find the departure of its upstream there after a restart.
+// that must find the departure of its upstream, or the ends of it for which requests are
+// held back, there after a restart.
 func (nd *Node) needsRecord() bool {
 	needed := false
 	nd.loop.read(func(state *core.State) {
-		needed = state.Fleet().IsDelegate() || state.Fleet().Self().Departure.IsSome()
+		needed = state.Fleet().IsDelegate() || state.Fleet().Self().Departure.IsSome() || len(state.StoredCrashes(nd.now())) > 0
 	})
 	return needed
 }
--- a/node/record.go
+++ b/node/record.go
@@ -18,6 +18,13 @@
 	Zone     string `json:"zone"`
 	// Departure is the latest departure of a process of the node's upstream.
 	Departure departureWire `json:"departure,omitzero"`
+	// Crashes are ends of the node's upstream for which requests are held back.
+	Crashes []crashWire `json:"crashes,omitempty"`
+}
+
+// read returns the event that the record was read.
+func (w recordWire) read() core.RecordRead {
+	return core.RecordRead{Departure: w.Departure.departure(), Crashes: storedCrashes(w.Crashes)}
 }
 
 // recordKeeper remembers the state of the node's directory record.
@@ -76,6 +83,7 @@
 		if departure, ok := state.Fleet().Self().Departure.Get(); ok {
 			wire.Departure = departureToWire(departure)
 		}
+		wire.Crashes = crashesToWire(state.StoredCrashes(nd.now()))
 	})
 	return wire
 }
@@ -85,7 +93,7 @@
 }
 
 // readRecord reads the record that an earlier process of this node left in the
-// directory, and applies the departure in it.
+// directory, and applies what it says.
 func (nd *Node) readRecord(ctx context.Context) error {
 	nd.recordKeeper.mu.Lock()
 	defer nd.recordKeeper.mu.Unlock()
@@ -99,13 +107,13 @@
 	if err == nil && json.Unmarshal(found.Body, &wire) == nil {
 		nd.recordKeeper.revision, nd.recordKeeper.body, nd.recordKeeper.era = found.Revision, string(found.Body), found.Revision.Era()
 	}
-	nd.loop.post(core.RecordRead{Departure: wire.Departure.departure()})
+	nd.loop.post(wire.read())
 	return nil
 }
 
 // writeRecord creates the node's directory record, or updates it if its content
 // has changed. If the directory has a record of an earlier process of this
-// instance, writeRecord first applies the departure in it.
+// instance, writeRecord first applies what it says.
 func (nd *Node) writeRecord(ctx context.Context) error {
 	nd.recordKeeper.mu.Lock()
 	defer nd.recordKeeper.mu.Unlock()
@@ -134,7 +142,7 @@
 	}
 	var wire recordWire
 	if json.Unmarshal(found.Body, &wire) == nil {
-		nd.loop.post(core.RecordRead{Departure: wire.Departure.departure()})
+		nd.loop.post(wire.read())
 	}
 	return nd.putRecord(ctx, found.Revision)
 }
