Let one owner at a time run a request that is on trial

Seen in a variation of the drill: a request that ends its upstreams after 0.2 s, sent every 0.02 s, is run by all nine at once; these ends are no series, and when all are back after 3 s it is run by all of them again: 16, 15, 16 runs later than 3 s after the third end, 3 allowed. The same would follow the end of a hold. Cause: each owner tried the suspected request for itself.

A request that alone explains three ends and is not held back is on trial: none of the owners of its service runs it for a second, then each has a turn of a second in the order of a hash, and runs it once at a time. Owners and entries work out the turn from the evidence they share, so the entry asks that owner only. The first end in a turn makes the series, the first run to the end clears the request.

--- a/blame/ledger.go
+++ b/blame/ledger.go
@@ -6,8 +6,8 @@
 //
 // Having run at a crash proves nothing. A request is held back once it alone explains
 // several crashes, at more than one instance and one after the other, and no upstream
-// has run it to its end since. One that explains crashes at the same time is suspected,
-// and not tried again for a second.
+// has run it to its end since. One that explains crashes at the same time is on trial,
+// as is one whose hold has ended: one instance at a time runs it, one run at a time.
 //
 // # Usage
 //
@@ -165,13 +165,6 @@
 	return holds
 }
 
-// Suspected returns when a request that alone explains several crashes may be tried
-// again. It returns false if the request is not suspected or may be tried now.
-func (ld *Ledger) Suspected(content types.ContentHash, now time.Time) (Hold, bool) {
-	hold, ok := ld.verdicts.suspected[content]
-	return hold, ok && hold.inForce(now)
-}
-
 // Undecided reports whether there are requests that have rivals.
 func (ld *Ledger) Undecided() bool { return len(ld.verdicts.tied) > 0 }
 
--- a/blame/ledger_test.go
+++ b/blame/ledger_test.go
@@ -133,12 +133,18 @@
 		ns.wait(100 * time.Millisecond)
 	}
 	check.Equal(ns.held(t), nil)
-	_, suspected := ns.ledgers[5].Suspected(bystander, ns.now)
-	check.True(suspected) // but it waits a little
-	ns.wait(time.Second)
-	_, suspected = ns.ledgers[5].Suspected(bystander, ns.now)
-	check.True(!suspected)
+	trial, ok := ns.ledgers[5].Trial(bystander, ns.now)
+	check.True(ok)
+	check.Equal(trial.Turn, -1) // but it waits a little
+	for turn := range 3 {
+		ns.wait(trial.Next.Sub(ns.now))
+		trial, ok = ns.ledgers[5].Trial(bystander, ns.now)
+		check.True(ok)
+		check.Equal(trial.Turn, turn)
+	}
 	ns.finish(5, bystander)
+	_, ok = ns.ledgers[0].Trial(bystander, ns.now)
+	check.True(!ok)
 	ns.crash(5, bystander)
 	check.Equal(ns.held(t), nil)
 }
@@ -223,6 +229,9 @@
 		check.Equal(ns.held(t), []types.ContentHash{culprit})
 		ns.wait(time.Minute)
 		check.Equal(ns.held(t), nil)
+		trial, ok := ns.ledgers[1].Trial(culprit, ns.now)
+		check.True(ok)
+		check.Equal(trial.Turn, 0)
 	}
 	ns.wait(2 * time.Hour)
 	for _, ledger := range ns.ledgers {
--- a/blame/verdict.go
+++ b/blame/verdict.go
@@ -41,7 +41,8 @@
 type verdicts struct {
 	held map[types.ContentHash]Hold
 	// suspected are the requests that alone explain crashes which may have had another
-	// cause, as they were at the same time.
+	// cause, as they were at the same time. They wait until the end of their hold and
+	// are on trial then.
 	suspected map[types.ContentHash]Hold
 	// tied are the requests that other requests explain the same crashes as well as.
 	tied map[types.ContentHash]bool
--- a/core/crash.go
+++ b/core/crash.go
@@ -1,10 +1,14 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sequoiamill.example/sequoiamill/admit"
 	"sequoiamill.example/sequoiamill/blame"
 	"sequoiamill.example/sequoiamill/fault"
@@ -158,19 +162,33 @@
 }
 
 // suspectError returns the error with which a request that may end upstreams is not run
-// now: it ran when upstreams ended a moment ago, or this upstream runs another request which may
-// have ended the same upstreams.
-func (st *State) suspectError(content types.ContentHash, now time.Time) *fault.Error {
-	if hold, ok := st.blame.Suspected(content, now); ok {
-		return fault.New(fault.Closed, "the request, content %s, ran at %d upstreams that ended", content, hold.Crashes).WithRetryAfter(hold.Until.Sub(now))
+// now: it is on trial and it is another owner's turn or the request runs already, or this
+// upstream runs another request which may have ended the same upstreams.
+func (st *State) suspectError(work admit.WorkItem, now time.Time) *fault.Error {
+	trial, ok := st.blame.Trial(work.Content, now)
+	same := func(other admit.WorkItem) bool { return other.Content == work.Content }
+	if ok && (st.tester(work.Service, work.Content, trial) != st.fleet.Self().ID || st.admission.Contains(same)) {
+		return fault.New(fault.Closed, "the request, content %s, ran at %d upstreams that ended", work.Content, trial.Crashes).WithRetryAfter(trial.Next.Sub(now))
 	}
-	rival := func(work admit.WorkItem) bool { return st.blame.Rivals(content, work.Content) }
+	rival := func(other admit.WorkItem) bool { return st.blame.Rivals(work.Content, other.Content) }
 	if st.blame.Undecided() && st.admission.Contains(rival) {
 		return fault.New(fault.Closed, "another request runs that may have ended the same upstreams").WithRetryAfter(defaultRetryAfter)
 	}
 	return nil
 }
 
+// tester returns the owner whose turn it is to run a request on trial, or "" if it is
+// nobody's.
+func (st *State) tester(service types.ServiceName, content types.ContentHash, trial blame.Trial) types.InstanceID {
+	owners := slices.Clone(st.fleet.ServiceOwners(service))
+	if trial.Turn < 0 || len(owners) == 0 {
+		return ""
+	}
+	rank := func(owner fleet.Member) uint64 { return xxhash.Sum64String(content.String() + string(owner.ID)) }
+	slices.SortFunc(owners, func(a, b fleet.Member) int { return cmp.Compare(rank(a), rank(b)) })
+	return owners[trial.Turn%len(owners)].ID
+}
+
 // addEvidence adds evidence to the messages among the effects: what this node has learned
 // lately, or all of it in the reply to a node that knows other evidence.
 func (st *State) addEvidence(effects []types.Effect, event types.Event, now time.Time) []types.Effect {
--- a/core/crash_test.go
+++ b/core/crash_test.go
@@ -130,26 +130,42 @@
 	check.Equal(len(failures(sn.step(call))), 0)
 }
 
-// TestSuspectedRequestWaitsAtTheNextUpstream checks that a request which ran when several
-// upstreams ended at the same time is not run for a second, but not held back.
-func TestSuspectedRequestWaitsAtTheNextUpstream(t *testing.T) {
+// TestRequestOnTrialRunsAtOneUpstreamAtATime checks that a request which ran when several
+// upstreams ended at the same time waits a second, and that the owners of its service run
+// it by turns then, one run at a time, until one has run it to its end.
+func TestRequestOnTrialRunsAtOneUpstreamAtATime(t *testing.T) {
 	check := is.New(t)
-	sn := newUnannouncedNode(t)
-	sn.announce(core.Announcement{Service: "s0", Slots: 10, Connections: 100})
-	report := evidence(7)
+	sn := newNode(t, 1, 4)
+	report := evidence(types.ContentHash(7).WithRoute("s0"))
 	for i := range report.Crashes {
 		report.Crashes[i].Age = time.Duration(i) * time.Millisecond
 	}
+	content := report.Crashes[0].Runs[0].Content
 	sn.learn(report)
 	check.Equal(len(sn.state.Holds(sn.now)), 0)
-	checkRefused(check, sn.run(7), 1, fault.Closed)
-	dispatched, _, _ := countOutcomes(sn.run(8))
-	check.Equal(dispatched, 1)
-	for range 10 {
+	turns := map[types.InstanceID]int{}
+	for call := range 50 {
+		arrived := flow.CallArrived{Call: types.CallID(call + 1), Content: 7, Target: route.Request{Method: "GET", Path: "/s0/x"}}
+		for _, effect := range sn.step(arrived) {
+			if start, ok := effect.(flow.StartAttempt); ok {
+				turns[start.Target.ID]++
+			}
+		}
+		sn.step(flow.CallCanceled{Call: arrived.Call})
+		dispatched, refused, _ := countOutcomes(sn.run(content))
+		check.Equal(dispatched+len(refused), 1)
+		check.True(dispatched == 0 || turns["i0"] == 1) // the owner runs it in its turn, and once
+		dispatched, _, _ = countOutcomes(sn.run(8))
+		check.Equal(dispatched, 1)
+		sn.step(admit.Ended{ID: types.WorkID(sn.lastID), Outcome: fault.Ran, Complete: true})
 		sn.now = sn.now.Add(tickInterval)
 		sn.step(core.Tick{})
 	}
-	dispatched, _, _ = countOutcomes(sn.run(7))
+	check.Equal(len(turns), 4) // 4 s of turns after a second of waiting
+	for _, count := range turns {
+		check.True(count >= 9)
+	}
+	dispatched, _, _ := countOutcomes(sn.run(8))
 	check.Equal(dispatched, 1)
 }
 
--- a/core/entry.go
+++ b/core/entry.go
@@ -101,10 +101,14 @@
 func (st *State) pick(call flow.Call, tried types.Set[types.InstanceID], now time.Time) (route.Candidate, bool) {
 	typicalDuration := st.balancer.TypicalDuration(call.Route.Name)
 	onlyFree := tried.Len() > 0 && !call.SoftDeadline.IsZero() && now.Add(typicalDuration).After(call.SoftDeadline)
+	tester := types.None[types.InstanceID]()
+	if trial, ok := st.blame.Trial(call.Content, now); ok {
+		tester = types.Some(st.tester(call.Route.Service, call.Content, trial))
+	}
 	candidates := st.candidates[:0]
 	for _, owner := range st.fleet.ServiceOwners(call.Route.Service) {
 		effective := st.effectiveRule(owner, now)
-		if !tried.Has(owner.ID) && effective.admits(typicalDuration, now) {
+		if tester.Or(owner.ID) == owner.ID && !tried.Has(owner.ID) && effective.admits(typicalDuration, now) {
 			candidate := st.newCandidate(owner, effective)
 			candidate.TargetLatency = call.Route.TargetLatency
 			if onlyFree && st.balancer.KnownFull(candidate, now) {
--- a/core/owner.go
+++ b/core/owner.go
@@ -273,7 +273,11 @@
 		}
 	}
 	work = st.afterPause(work, now)
-	if err := st.admissionError(work, now); err != nil {
+	err := st.admissionError(work, now)
+	if err == nil {
+		err = st.suspectError(work, now)
+	}
+	if err != nil {
 		return refuseWork(work, err)
 	}
 	work.RequireEcho = st.effectiveRule(st.fleet.Self(), now).rule.RequireEcho
@@ -307,8 +311,6 @@
 		return fault.New(fault.Closed, "the upstream is leaving").WithRetryAfter(defaultRetryAfter)
 	case !st.effectiveRule(st.fleet.Self(), now).admits(st.admission.TypicalDuration(work.Route), now):
 		return fault.New(fault.Closed, "the upstream is closed when the work would end").WithRetryAfter(defaultRetryAfter)
-	case st.suspectError(work.Content, now) != nil:
-		return st.suspectError(work.Content, now)
 	case st.pause.maxWaited(now) > 0 && !now.Before(work.Deadline):
 		return fault.New(fault.DeadlineExceeded, "the deadline came while the node was paused").WithRetryAfter(defaultRetryAfter)
 	default:
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -35,7 +35,6 @@
 	stability   = 3 * time.Second
 	maxEnded    = 3
 	maxLateRuns = 3
-	downFor     = 2 * time.Second
 	fleetWait   = 20 * time.Second
 	callLimit   = 2 * time.Second
 )
@@ -51,13 +50,15 @@
 	client    *http.Client
 	tried     atomic.Uint64
 	running   sync.WaitGroup
+	endsAfter time.Duration
+	downFor   time.Duration
 	// stop stops all nodes and waits until they have ended.
 	stop func()
 }
 
-func newCrashFleet(t *testing.T, size int) *crashFleet {
+func newCrashFleet(t *testing.T, size int, endsAfter, downFor time.Duration) *crashFleet {
 	t.Helper()
-	fl := startCrashFleet(t, size, plat.NewMemory().Store())
+	fl := startCrashFleet(t, size, endsAfter, downFor, plat.NewMemory().Store())
 	fl.publish()
 	fl.waitReady(size)
 	return fl
@@ -65,10 +66,10 @@
 
 // startCrashFleet starts the nodes of a fleet whose configuration is not known yet to be
 // in force.
-func startCrashFleet(t *testing.T, size int, store *plat.Store) *crashFleet {
+func startCrashFleet(t *testing.T, size int, endsAfter, downFor time.Duration, store *plat.Store) *crashFleet {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	fl := &crashFleet{t: t, ctx: ctx, store: store, client: &http.Client{Timeout: 2 * callLimit}}
+	fl := &crashFleet{t: t, ctx: ctx, store: store, client: &http.Client{Timeout: 2 * callLimit}, endsAfter: endsAfter, downFor: downFor}
 	fl.stop = func() { cancel(); fl.running.Wait() }
 	t.Cleanup(fl.stop)
 	for range size {
@@ -93,7 +94,7 @@
 	}
 	fl.nodes = append(fl.nodes, nd)
 	upstream := &fakes.CrashingUpstream{
-		Path: crashPath, Body: crashBody, Work: 50 * time.Millisecond, EndsAfter: 50 * time.Millisecond, DownFor: downFor, Log: &fl.log,
+		Path: crashPath, Body: crashBody, Work: 50 * time.Millisecond, EndsAfter: fl.endsAfter, DownFor: fl.downFor, Log: &fl.log,
 	}
 	address, err := upstream.Start()
 	if err != nil {
@@ -211,40 +212,57 @@
 // each upstream which runs it and is sent to one after the other (BUDGET).
 func TestRequestThatEndsItsUpstreamsReachesFewOfThem(t *testing.T) {
 	check := is.New(t)
-	fl := newCrashFleet(t, 9)
+	fl := newCrashFleet(t, 9, 50*time.Millisecond, 2*time.Second)
+	lateUnserved := fl.sendBesideOthers(150 * time.Millisecond)
+	late := fl.log.RunsAfter(maxEnded, stability)
+	check.True(len(fl.log.Ends()) >= maxEnded) // the request ends upstreams
+	check.True(late <= maxLateRuns)            // it reaches few of them later
+	check.Equal(lateUnserved, nil)             // what ran beside it is served
+	fl.checkHeld(check)
+	fl.checkRelease(check)
+}
+
+// TestRequestThatEndsAllUpstreamsAtOnceReachesFewLater guards against a request that many
+// upstreams run at the same time, all of them again when they are back.
+func TestRequestThatEndsAllUpstreamsAtOnceReachesFewLater(t *testing.T) {
+	check := is.New(t)
+	fl := newCrashFleet(t, 9, 200*time.Millisecond, 3*time.Second)
+	lateUnserved := fl.sendBesideOthers(20 * time.Millisecond)
+	check.True(len(fl.log.Ends()) >= len(fl.nodes)) // the request ends all upstreams
+	check.True(fl.log.RunsAfter(maxEnded, stability) <= maxLateRuns)
+	check.Equal(lateUnserved, nil)
+}
+
+// sendBesideOthers sends the request that ends upstreams at an interval, and others beside
+// it. It returns what of the others was held back, or was not served although it was sent
+// when the upstreams had to be back.
+func (fl *crashFleet) sendBesideOthers(interval time.Duration) []string {
 	const length = 10 * time.Second
 	began := time.Now()
 	var mu sync.Mutex
 	var lateUnserved []string
-	var plain, served atomic.Int64
-	stop := repeat(150*time.Millisecond, length, func() { fl.call(crashPath, crashBody) })
-	var bystanders []func()
+	plain, served := 0, 0
+	waits := []func(){repeat(interval, length, func() { fl.call(crashPath, crashBody) })}
 	for caller := range 6 {
-		bystanders = append(bystanders, repeat(60*time.Millisecond, length, func() {
-			sent := time.Now()
+		waits = append(waits, repeat(60*time.Millisecond, length, func() {
+			sent := time.Since(began)
 			got := fl.call("/status/plain", fmt.Sprint("plain ", caller))
-			plain.Add(1)
+			mu.Lock()
+			defer mu.Unlock()
+			plain++
 			if got.status == http.StatusOK {
-				served.Add(1)
-			}
-			if got.status != http.StatusOK && (got.kind == "held" || sent.Sub(began) > stability+downFor+time.Second) {
-				mu.Lock()
-				lateUnserved = append(lateUnserved, fmt.Sprint(sent.Sub(began).Round(time.Millisecond), got))
-				mu.Unlock()
+				served++
+			} else if got.kind == "held" || sent > stability+fl.downFor+time.Second {
+				lateUnserved = append(lateUnserved, fmt.Sprint(sent.Round(time.Millisecond), got))
 			}
 		}))
 	}
-	stop()
-	for _, wait := range bystanders {
+	for _, wait := range waits {
 		wait()
 	}
-	late := fl.log.RunsAfter(maxEnded, stability)
-	t.Logf("%d upstreams ended, %d runs later than %s after the third, %d of %d other requests served", len(fl.log.Ends()), late, stability, served.Load(), plain.Load())
-	check.True(len(fl.log.Ends()) >= maxEnded) // the request ends upstreams
-	check.True(late <= maxLateRuns)            // it reaches few of them later
-	check.Equal(lateUnserved, nil)             // what ran beside it is served
-	fl.checkHeld(check)
-	fl.checkRelease(check)
+	fl.t.Logf("%d upstreams ended, %d runs later than %s after the third, %d of %d other requests served",
+		len(fl.log.Ends()), fl.log.RunsAfter(maxEnded, stability), stability, served, plain)
+	return lateUnserved
 }
 
 // checkHeld checks that the request which ends upstreams is refused by every node, also
@@ -288,7 +306,7 @@
 // that only ran when upstreams ended for another reason, all of them again and again.
 func TestRequestsThatRanWhenUpstreamsEndedAreServed(t *testing.T) {
 	check := is.New(t)
-	fl := newCrashFleet(t, 3)
+	fl := newCrashFleet(t, 3, 50*time.Millisecond, 2*time.Second)
 	var held atomic.Int64
 	stop := repeat(10*time.Millisecond, 8*time.Second, func() {
 		if fl.call("/status/popular", "popular").kind == "held" {
@@ -300,7 +318,7 @@
 		for _, upstream := range fl.upstreams {
 			upstream.End()
 		}
-		time.Sleep(downFor)
+		time.Sleep(fl.downFor)
 	}
 	stop()
 	check.Equal(len(fl.log.Ends()), 9)
@@ -314,7 +332,7 @@
 func TestHoldOutlivesARestartOfAllNodes(t *testing.T) {
 	check := is.New(t)
 	const size = 3
-	fl := newCrashFleet(t, size)
+	fl := newCrashFleet(t, size, 50*time.Millisecond, 2*time.Second)
 	wait := repeat(150*time.Millisecond, 5*time.Second, func() { fl.call(crashPath, crashBody) })
 	wait()
 	check.Equal(len(fl.holds(check, 0)), 1)
@@ -326,7 +344,7 @@
 		_, err := fl.store.Put(context.Background(), record)
 		check.NoErr(err)
 	}
-	restarted := startCrashFleet(t, size, fl.store)
+	restarted := startCrashFleet(t, size, fl.endsAfter, fl.downFor, fl.store)
 	restarted.waitReady(size)
 	for node := range restarted.nodes {
 		for deadline := time.Now().Add(fleetWait); len(restarted.holds(check, node)) == 0 && time.Now().Before(deadline); {
