Refuse a request at the entry while no owner may try it

A request on trial before the first turn was refused as if its service had no upstream. The entry now says what it is: content, number of ends, and when the first turn begins. Counted in calls_held.

--- a/core/crash.go
+++ b/core/crash.go
@@ -13,6 +13,7 @@
 	"sequoiamill.example/sequoiamill/blame"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/route"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
 )
@@ -161,6 +162,22 @@
 	return fault.New(fault.Held, "%s, content %s, ended %d upstreams that ran it", name, hold.Content, hold.Crashes).WithRetryAfter(hold.Until.Sub(now))
 }
 
+func newTrialError(name string, content types.ContentHash, trial blame.Trial, now time.Time) *fault.Error {
+	return fault.New(fault.Closed, "%s, content %s, ran at %d upstreams that ended", name, content, trial.Crashes).WithRetryAfter(trial.Next.Sub(now))
+}
+
+// blameError returns the error with which the entry refuses a request that no owner may
+// run now, because it ends upstreams or may do so. It returns nil for any other request.
+func (st *State) blameError(target route.Request, content types.ContentHash, now time.Time) *fault.Error {
+	if hold, ok := st.blame.Held(content, now); ok {
+		return newHeldError(target.Method+" "+target.Path, hold, now)
+	}
+	if trial, ok := st.blame.Trial(content, now); ok && trial.Turn < 0 {
+		return newTrialError(target.Method+" "+target.Path, content, trial, now)
+	}
+	return nil
+}
+
 // suspectError returns the error with which a request that may end upstreams is not run
 // now: it is on trial and it is another owner's turn or the request runs already, or this
 // upstream runs another request which may have ended the same upstreams.
@@ -168,7 +185,7 @@
 	trial, ok := st.blame.Trial(work.Content, now)
 	same := func(other admit.WorkItem) bool { return other.Content == work.Content }
 	if ok && (st.tester(work.Service, work.Content, trial) != st.fleet.Self().ID || st.admission.Contains(same)) {
-		return fault.New(fault.Closed, "the request, content %s, ran at %d upstreams that ended", work.Content, trial.Crashes).WithRetryAfter(trial.Next.Sub(now))
+		return newTrialError("the request", work.Content, trial, now)
 	}
 	rival := func(other admit.WorkItem) bool { return st.blame.Rivals(work.Content, other.Content) }
 	if st.blame.Undecided() && st.admission.Contains(rival) {
--- a/core/entry.go
+++ b/core/entry.go
@@ -22,8 +22,7 @@
 		return append(effects, refuseCall(event, err)...)
 	}
 	content := event.Content.WithRoute(matched.Name)
-	if hold, ok := st.blame.Held(content, now); ok {
-		err := newHeldError(event.Target.Method+" "+event.Target.Path, hold, now)
+	if err := st.blameError(event.Target, content, now); err != nil {
 		return append(append(effects, trace.Count{Counter: trace.CallsHeld}), refuseCall(event, err)...)
 	}
 	if len(matched.Split) > 0 {
