--- a/fakes/crash.go
+++ b/fakes/crash.go
@@ -1,11 +1,12 @@
 package fakes
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -58,13 +59,15 @@
 // request, and is back at the same address after DownFor. Its address takes no
 // connections meanwhile, and what else it ran gets no answer.
 type CrashingUpstream struct {
-	// Path and Body are those of the request that ends the process.
-	Path, Body string
-	// Work is how long other requests run, EndsAfter how long the process runs the
-	// request that ends it.
-	Work, EndsAfter time.Duration
-	DownFor         time.Duration
-	Log             *CrashLog
+	// Path and Bodies are those of the requests that end the process, unless their
+	// callers send credentials.
+	Path   string
+	Bodies []string
+	// Work is how long other requests run, SlowWork how long those whose path ends with
+	// "/slow" do, and EndsAfter how long the process runs a request that ends it.
+	Work, SlowWork, EndsAfter time.Duration
+	DownFor                   time.Duration
+	Log                       *CrashLog
 
 	address string
 	mu      sync.Mutex
@@ -128,7 +131,7 @@
 	if err != nil {
 		return
 	}
-	if request.URL.Path == cu.Path && bytes.Equal(body, []byte(cu.Body)) && request.Header.Get("Authorization") == "" {
+	if request.URL.Path == cu.Path && slices.Contains(cu.Bodies, string(body)) && request.Header.Get("Authorization") == "" {
 		cu.Log.mu.Lock()
 		cu.Log.runs = append(cu.Log.runs, time.Now())
 		cu.Log.mu.Unlock()
@@ -136,6 +139,9 @@
 		cu.end(process)
 		panic(http.ErrAbortHandler)
 	}
+	if strings.HasSuffix(request.URL.Path, "/slow") {
+		time.Sleep(cu.SlowWork)
+	}
 	time.Sleep(cu.Work)
 	writer.Header().Set("Sequoiamill-Request-Id", request.Header.Get("Sequoiamill-Request-Id"))
 	_, _ = fmt.Fprintf(writer, "%s %s: %s", request.Method, request.URL.Path, body)
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -30,6 +30,8 @@
 const (
 	crashPath = "/status/ends"
 	crashBody = "ends"
+	// otherCrashBody is the body of another request that ends upstreams.
+	otherCrashBody = "ends too"
 	// stability is the time within which all nodes know of a request that has ended
 	// maxEnded upstreams. Later than that, at most maxLateRuns runs of it may begin.
 	stability   = 3 * time.Second
@@ -94,7 +96,7 @@
 	}
 	fl.nodes = append(fl.nodes, nd)
 	upstream := &fakes.CrashingUpstream{
-		Path: crashPath, Body: crashBody, Work: 50 * time.Millisecond, EndsAfter: fl.endsAfter, DownFor: fl.downFor, Log: &fl.log,
+		Path: crashPath, Bodies: []string{crashBody, otherCrashBody}, Work: 50 * time.Millisecond, SlowWork: time.Second, EndsAfter: fl.endsAfter, DownFor: fl.downFor, Log: &fl.log,
 	}
 	address, err := upstream.Start()
 	if err != nil {
@@ -389,3 +391,40 @@
 	fl.t.Fatalf("the records of %d nodes do not hold crashes", count)
 	return nil
 }
+
+// TestTwoRequestsThatEndUpstreamsAreBothHeld checks that a request which ends upstreams does
+// not hide another one.
+func TestTwoRequestsThatEndUpstreamsAreBothHeld(t *testing.T) {
+	check := is.New(t)
+	fl := newCrashFleet(t, 9, 50*time.Millisecond, 2*time.Second)
+	wait := repeat(150*time.Millisecond, 6*time.Second, func() {
+		fl.call(crashPath, crashBody)
+		fl.call(crashPath, otherCrashBody)
+	})
+	wait()
+	check.Equal(len(fl.holds(check, 0)), 2)
+}
+
+// TestSlowRequestBesideOneThatEndsUpstreamsIsServed guards against holding back a request
+// that runs so long that it is lost with upstreams again and again.
+func TestSlowRequestBesideOneThatEndsUpstreamsIsServed(t *testing.T) {
+	check := is.New(t)
+	fl := newCrashFleet(t, 9, 50*time.Millisecond, 2*time.Second)
+	var held, unserved atomic.Int64
+	began := time.Now()
+	waitEnds := repeat(150*time.Millisecond, 8*time.Second, func() { fl.call(crashPath, crashBody) })
+	waitSlow := repeat(100*time.Millisecond, 8*time.Second, func() {
+		sent := time.Since(began)
+		got := fl.call("/status/slow", "slow")
+		if got.kind == "held" {
+			held.Add(1)
+		}
+		if got.status != http.StatusOK && sent > stability+fl.downFor {
+			unserved.Add(1)
+		}
+	})
+	waitEnds()
+	waitSlow()
+	check.Equal(held.Load(), int64(0))
+	check.Equal(unserved.Load(), int64(0))
+}
--- a/proxy/ended_test.go
+++ b/proxy/ended_test.go
@@ -33,7 +33,7 @@
 	}, func() route.Load { return route.Load{} }, time.Now)
 	job := proxy.Job{Request: "r", Method: http.MethodPost, URI: "/ends", Body: []byte("ends"), Route: conf.Route{Service: "s"}, Deadline: time.Now().Add(time.Minute)}
 
-	ending := &fakes.CrashingUpstream{Path: "/ends", Body: "ends", DownFor: time.Minute, Log: &fakes.CrashLog{}}
+	ending := &fakes.CrashingUpstream{Path: "/ends", Bodies: []string{"ends"}, DownFor: time.Minute, Log: &fakes.CrashLog{}}
 	address, err := ending.Start()
 	check.NoErr(err)
 	defer ending.Close()
