Compare revisions within an era in the product's own dialect

A platform that comes back from an older copy gives revisions out again. The client of the users' platform already tells the eras apart; that of the product's own dialect did not: a write of before the restore landed on another state with the same revision, and a watch waited for a revision that was not reached again. Both clients now share the rule, by the header Sequoiamill-Era, which package plat named and nobody sent. The stand-in platform grows copies and restores.

Open: a client that has not heard of the new era yet, and the product's root and packs, which nobody writes again (status says that the root went back).

Also: the usage of package blame in its comment.

--- a/blame/ledger.go
+++ b/blame/ledger.go
@@ -12,10 +12,10 @@
 // # Usage
 //
 //	ledger := blame.NewLedger("kolkata-1")
-//	ledger.RecordCrash(runs, now)
-//	ledger.RecordFinished(content, now)
+//	changes := ledger.RecordCrash(runs, endedAt, now)
+//	changes = ledger.RecordFinished(content, now)
 //	if hold, ok := ledger.Held(content, now); ok { ... }
-//	changes := ledger.Merge(report, now)
+//	changes = ledger.Merge(report, now)
 package blame
 
 import (
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -48,7 +48,9 @@
 // Platform is a fake of the platform's object API over HTTP. It keeps the
 // objects in memory.
 type Platform struct {
-	memory *plat.Memory
+	memory atomic.Pointer[plat.Memory]
+	// era counts the restores from a copy.
+	era    atomic.Uint64
 	now    func() time.Time
 	faults atomic.Pointer[Faults]
 	// answersToLose is how many of Faults.LoseAnswers are left. It may be negative.
@@ -64,7 +66,8 @@
 
 // NewPlatform returns a platform without objects and faults.
 func NewPlatform() *Platform {
-	pf := &Platform{memory: plat.NewMemory(), now: time.Now}
+	pf := &Platform{now: time.Now}
+	pf.memory.Store(plat.NewMemory())
 	pf.SetFaults(Faults{})
 	return pf
 }
@@ -78,7 +81,7 @@
 
 // Store returns a store that accesses the objects directly, without faults and
 // without counting calls.
-func (pf *Platform) Store() *plat.Store { return pf.memory.Store() }
+func (pf *Platform) Store() *plat.Store { return pf.memory.Load().Store() }
 
 // SetFaults replaces the simulated faults.
 func (pf *Platform) SetFaults(faults Faults) {
@@ -90,6 +93,16 @@
 	}
 }
 
+// Copy returns the current state.
+func (pf *Platform) Copy() *plat.Memory { return pf.memory.Load().Copy() }
+
+// Restore brings the platform back from a copy, in a new era. Open watches go on without
+// an event.
+func (pf *Platform) Restore(state *plat.Memory) {
+	pf.memory.Store(state.Copy())
+	pf.era.Add(1)
+}
+
 // Counts returns the numbers of calls since the platform was created.
 func (pf *Platform) Counts() CallCounts { return pf.calls.snapshot() }
 
@@ -128,21 +141,22 @@
 // PutRaw stores an object without checking its revision; a nil body deletes it.
 func (pf *Platform) PutRaw(name plat.Name, body []byte) {
 	ctx := context.Background()
-	object, err := pf.memory.Get(ctx, name)
+	object, err := pf.memory.Load().Get(ctx, name)
 	if err != nil {
 		object = plat.Object{Name: name}
 	}
 	if body == nil {
-		_ = pf.memory.Delete(ctx, object)
+		_ = pf.memory.Load().Delete(ctx, object)
 		return
 	}
-	_, _ = pf.memory.Put(ctx, object.WithBody(body))
+	_, _ = pf.memory.Load().Put(ctx, object.WithBody(body))
 }
 
 // serveObjects applies the delay, the outage and the rate limits, and then serves
 // a call of the object API.
 func (pf *Platform) serveObjects(writer http.ResponseWriter, request *http.Request) {
 	faults := pf.faults.Load()
+	writer.Header().Set(plat.EraHeader, strconv.FormatUint(pf.era.Load(), 10))
 	select {
 	case <-request.Context().Done():
 		return
@@ -191,14 +205,14 @@
 		name.Name = strings.TrimPrefix(request.URL.Query().Get("fieldSelector"), "metadata.name=")
 		pf.watch(writer, request, name)
 	case name.Name == "":
-		objects, _ := pf.memory.List(request.Context(), name.Kind)
+		objects, _ := pf.memory.Load().List(request.Context(), name.Kind)
 		list := plat.ListWire{}
 		for _, object := range objects {
 			list.Items = append(list.Items, toWire(object))
 		}
 		writeJSON(writer, list)
 	default:
-		object, err := pf.memory.Get(request.Context(), name)
+		object, err := pf.memory.Load().Get(request.Context(), name)
 		if err != nil {
 			writeError(writer, err)
 			return
@@ -219,7 +233,7 @@
 	}
 	name.Name = wire.Metadata.Name
 	object := plat.Object{Name: name, Revision: plat.Revision(wire.Metadata.ResourceVersion), Body: wire.Data}
-	object, err := pf.memory.Put(request.Context(), object)
+	object, err := pf.memory.Load().Put(request.Context(), object)
 	if err != nil {
 		writeError(writer, err)
 		return
@@ -240,7 +254,7 @@
 		return
 	}
 	object := plat.Object{Name: name, Revision: plat.Revision(options.Preconditions.ResourceVersion)}
-	if err := pf.memory.Delete(request.Context(), object); err != nil {
+	if err := pf.memory.Load().Delete(request.Context(), object); err != nil {
 		writeError(writer, err)
 		return
 	}
@@ -271,7 +285,7 @@
 	bookmark := plat.ObjectWire{Metadata: plat.MetadataWire{ResourceVersion: query.Get("resourceVersion")}}
 	writeJSON(writer, plat.WatchWire{Type: "BOOKMARK", Object: bookmark})
 	_ = controller.Flush()
-	_ = pf.memory.Watch(ctx, name, func(object plat.Object) {
+	_ = pf.memory.Load().Watch(ctx, name, func(object plat.Object) {
 		revision, _ := strconv.ParseUint(string(object.Revision), 10, 64)
 		if revision <= since || number <= pf.lastMuted.Load() {
 			return
--- a/plat/era.go
+++ b/plat/era.go
@@ -64,8 +64,12 @@
 
 // TextOf returns what the platform calls a revision. If the revision is of an era other
 // than the latest one, the error is of kind fault.VersionConflict: the platform may have
-// given the same text to another state of the object.
+// given the same text to another state of the object. An empty revision has an empty
+// text.
 func (ac *APIClient) TextOf(revision Revision) (string, error) {
+	if revision == "" {
+		return "", nil
+	}
 	era, text, found := strings.Cut(string(revision), eraSeparator)
 	if !found {
 		era, text = "0", string(revision)
--- a/plat/http.go
+++ b/plat/http.go
@@ -138,7 +138,7 @@
 	if err := cl.api.Do(ctx, http.MethodGet, cl.path(name.Kind, name.Name), nil, &wire); err != nil {
 		return Object{}, err
 	}
-	return wire.object(name.Kind), nil
+	return wire.object(name.Kind, wire.Era()), nil
 }
 
 // getCached reads an object. The query resourceVersion=0 allows the platform to answer
@@ -148,7 +148,7 @@
 	if err := cl.api.Do(ctx, http.MethodGet, cl.path(name.Kind, name.Name)+"?resourceVersion=0", nil, &wire); err != nil {
 		return Object{}, err
 	}
-	return wire.object(name.Kind), nil
+	return wire.object(name.Kind, wire.Era()), nil
 }
 
 func (cl *client) list(ctx context.Context, kind Kind) ([]Object, error) {
@@ -168,7 +168,7 @@
 	}
 	objects := make([]Object, 0, len(wire.Items))
 	for _, item := range wire.Items {
-		objects = append(objects, item.object(kind))
+		objects = append(objects, item.object(kind, wire.Era()))
 	}
 	return objects, nil
 }
@@ -178,25 +178,34 @@
 	if object.Revision == "" {
 		method, path = http.MethodPost, cl.path(object.Name.Kind, "")
 	}
+	text, err := cl.api.TextOf(object.Revision)
+	if err != nil {
+		return Object{}, err
+	}
 	var wire ObjectWire
-	if err := cl.api.Do(ctx, method, path, cl.wire(object), &wire); err != nil {
+	if err := cl.api.Do(ctx, method, path, cl.wire(object, text), &wire); err != nil {
 		return Object{}, err
 	}
-	return wire.object(object.Name.Kind), nil
+	return wire.object(object.Name.Kind, wire.Era()), nil
 }
 
 func (cl *client) delete(ctx context.Context, object Object) error {
+	text, err := cl.api.TextOf(object.Revision)
+	if err != nil {
+		return err
+	}
 	options := struct {
 		Preconditions MetadataWire `json:"preconditions"`
-	}{MetadataWire{ResourceVersion: string(object.Revision)}}
+	}{MetadataWire{ResourceVersion: text}}
 	return cl.api.Do(ctx, http.MethodDelete, cl.path(object.Name.Kind, object.Name.Name), options, nil)
 }
 
-func (cl *client) wire(object Object) ObjectWire {
+// wire converts an object whose revision the platform calls text.
+func (cl *client) wire(object Object, text string) ObjectWire {
 	return ObjectWire{
 		APIVersion: apiGroup + "/" + apiVersion,
 		Kind:       string(object.Name.Kind),
-		Metadata:   MetadataWire{Name: object.Name.Name, Namespace: cl.namespace, ResourceVersion: string(object.Revision)},
+		Metadata:   MetadataWire{Name: object.Name.Name, Namespace: cl.namespace, ResourceVersion: text},
 		Data:       object.Body,
 	}
 }
--- a/plat/memory.go
+++ b/plat/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"sync"
 
@@ -24,6 +25,13 @@
 	return &Memory{objects: map[Name]Object{}, changed: make(chan struct{})}
 }
 
+// Copy returns a store with the same objects, whose revisions continue from the same one.
+func (m *Memory) Copy() *Memory {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &Memory{revision: m.revision, objects: maps.Clone(m.objects), changed: make(chan struct{})}
+}
+
 // Store returns the operations of m as a Store.
 func (m *Memory) Store() *Store {
 	return &Store{Get: m.Get, GetCached: m.Get, List: m.List, ListCached: m.List, Put: m.Put, Delete: m.Delete, Watch: m.Watch, Era: func() Era { return 0 }}
--- a/plat/watch.go
+++ b/plat/watch.go
@@ -30,8 +30,8 @@
 	// the last revision that it reported.
 	errWatchEnded = errors.New("the watch ended")
 	// errExpired means that the platform no longer knows the revision from which
-	// the watch should continue. The object is read again before the watch is
-	// reopened.
+	// the watch should continue, or has come back from an older copy. The object is
+	// read again before the watch is reopened.
 	errExpired = errors.New("the revision expired")
 )
 
@@ -76,15 +76,19 @@
 	defer cancel()
 	silenceTimer := time.AfterFunc(cl.watchTimeout+watchMargin, cancel)
 	defer silenceTimer.Stop()
-	reply, err := cl.api.send(ctx, http.MethodGet, cl.path(name.Kind, "")+"?"+cl.watchQuery(name, *last).Encode(), nil)
-	switch {
-	case err != nil:
-		return watchError(ctx, err)
-	case reply.StatusCode == http.StatusGone:
-		_ = reply.Body.Close()
+	from, err := cl.api.TextOf(*last)
+	if err != nil {
 		return errExpired
 	}
+	reply, err := cl.api.send(ctx, http.MethodGet, cl.path(name.Kind, "")+"?"+cl.watchQuery(name, from).Encode(), nil)
+	if err != nil {
+		return watchError(ctx, err)
+	}
 	defer func() { _ = reply.Body.Close() }()
+	era := cl.api.era.observe(reply.Header)
+	if reply.StatusCode == http.StatusGone || *last != "" && era != last.Era() {
+		return errExpired
+	}
 	if reply.StatusCode != http.StatusOK {
 		return statusError(reply, http.MethodGet, string(name.Kind))
 	}
@@ -95,21 +99,24 @@
 			return watchError(ctx, err)
 		}
 		silenceTimer.Reset(cl.watchTimeout + watchMargin)
-		if err := event.apply(name, last, onChange); err != nil {
+		if cl.api.Era() != era {
+			return errExpired
+		}
+		if err := event.apply(name, era, last, onChange); err != nil {
 			return err
 		}
 	}
 }
 
-func (cl *client) watchQuery(name Name, last Revision) url.Values {
+func (cl *client) watchQuery(name Name, from string) url.Values {
 	query := url.Values{
 		"watch":               {"true"},
 		"allowWatchBookmarks": {"true"},
 		"timeoutSeconds":      {strconv.Itoa(max(1, int(cl.watchTimeout/time.Second)))},
 		"fieldSelector":       {"metadata.name=" + name.Name},
 	}
-	if last != "" {
-		query.Set("resourceVersion", string(last))
+	if from != "" {
+		query.Set("resourceVersion", from)
 	}
 	return query
 }
@@ -129,8 +136,8 @@
 
 // apply handles one event of a watch. A bookmark only sets last to a newer revision.
 // A deletion is ignored.
-func (w WatchWire) apply(name Name, last *Revision, onChange func(Object)) error {
-	object := w.Object.object(name.Kind)
+func (w WatchWire) apply(name Name, era Era, last *Revision, onChange func(Object)) error {
+	object := w.Object.object(name.Kind, era)
 	switch w.Type {
 	case "ADDED", "MODIFIED":
 		*last = object.Revision
--- a/plat/wire.go
+++ b/plat/wire.go
@@ -2,6 +2,7 @@
 
 // ObjectWire is the JSON form of an object.
 type ObjectWire struct {
+	EraStamped
 	APIVersion string       `json:"apiVersion"`
 	Kind       string       `json:"kind"`
 	Metadata   MetadataWire `json:"metadata"`
@@ -20,6 +21,7 @@
 
 // ListWire is the JSON form of a list of objects.
 type ListWire struct {
+	EraStamped
 	Metadata MetadataWire `json:"metadata"`
 	Items    []ObjectWire `json:"items"`
 }
@@ -30,7 +32,7 @@
 	Object ObjectWire `json:"object"`
 }
 
-// object converts w to an Object of the given kind.
-func (w ObjectWire) object(kind Kind) Object {
-	return Object{Name: Name{Kind: kind, Name: w.Metadata.Name}, Revision: Revision(w.Metadata.ResourceVersion), Body: w.Data}
+// object converts w to an Object of the given kind, whose revision is of the given era.
+func (w ObjectWire) object(kind Kind, era Era) Object {
+	return Object{Name: Name{Kind: kind, Name: w.Metadata.Name}, Revision: era.Revision(w.Metadata.ResourceVersion), Body: w.Data}
 }
