--- a/proxy/content.go
+++ b/proxy/content.go
@@ -38,3 +38,13 @@
 func contentHash(job Job, caller uint64) types.ContentHash {
 	return types.ContentHash(job.hash(caller, job.Method, job.URI))
 }
+
+// hash returns a hash of the body and of other parts of the request.
+func (j Job) hash(seed uint64, parts ...string) uint64 {
+	hash := xxhash.NewWithSeed(seed)
+	for _, text := range parts {
+		_, _ = hash.WriteString(text + "\n")
+	}
+	_, _ = hash.Write(j.Body)
+	return hash.Sum64()
+}
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -151,16 +151,6 @@
 // idempotency key is reused for a different request.
 func (j Job) fingerprint() uint64 { return j.hash(0, j.Method, j.Host, j.URI) }
 
-// hash returns a hash of the body and of other parts of the request.
-func (j Job) hash(seed uint64, parts ...string) uint64 {
-	hash := xxhash.NewWithSeed(seed)
-	for _, text := range parts {
-		_, _ = hash.WriteString(text + "\n")
-	}
-	_, _ = hash.Write(j.Body)
-	return hash.Sum64()
-}
-
 // Result is the result of a job at its owner.
 type Result struct {
 	Verdict flow.Verdict
