--- a/admit/left.go
+++ b/admit/left.go
@@ -159,7 +159,7 @@
 	for i := range o.weights {
 		if middle > ratio {
 			weight += o.weights[i]
-			sum += o.weights[i] * (middle - ratio)
+			sum += float64(o.weights[i] * (middle - ratio))
 		}
 		middle *= overrunStep
 	}
--- a/admit/rate.go
+++ b/admit/rate.go
@@ -45,7 +45,7 @@
 
 func (rl *rateLimit) refill(now time.Time) {
 	if elapsed := now.Sub(rl.updated); rl.limited() && elapsed > 0 {
-		rl.tokens = min(rl.burst(), rl.tokens+rl.perSecond*elapsed.Seconds())
+		rl.tokens = min(rl.burst(), rl.tokens+float64(rl.perSecond*elapsed.Seconds()))
 		rl.updated = now
 	}
 }
--- a/admit/retry.go
+++ b/admit/retry.go
@@ -33,7 +33,8 @@
 func (re *retryBacklog) retryAfter(backlog, serviceTime time.Duration, rng *rand.Rand, now time.Time) time.Duration {
 	re.expected = math.Max(0, re.expected-float64(now.Sub(re.updated))/float64(max(serviceTime, 1)))
 	re.updated = now
-	base := float64(backlog) + re.expected*float64(serviceTime)
-	spread := time.Duration(math.Min(base, float64(maximumWait)) * (1 + rng.Float64()))
+	base := float64(backlog) + float64(re.expected*float64(serviceTime))
+	base = math.Min(base, float64(maximumWait))
+	spread := time.Duration(base + float64(base*rng.Float64()))
 	return min(max(spread, minimumWait+time.Duration(rng.Int64N(int64(minimumWait)))), maximumWait)
 }
--- a/admit/share.go
+++ b/admit/share.go
@@ -162,8 +162,8 @@
 	team.usual.add(0, usualPeriod, now)
 	sh.usual.add(0, usualPeriod, now)
 	part := sh.part(team)
-	expected := surgeFactor * part * sh.recent.sum
-	team.surging = team.recent.sum > expected+surgeItems*cost
+	expected := float64(surgeFactor * part * sh.recent.sum)
+	team.surging = team.recent.sum > expected+float64(surgeItems*cost)
 	if !team.surging || team.calmAt.IsZero() {
 		team.calmAt = now
 	}
--- a/canary/canary.go
+++ b/canary/canary.go
@@ -42,7 +42,7 @@
 const aimedPart = 0.65
 
 // Aim returns the share of its own requests that an entry node sends to the version.
-func (b Bound) Aim() float64 { return aimedPart * b.Share }
+func (b Bound) Aim() float64 { return float64(aimedPart * b.Share) }
 
 // OrderID identifies an order of a service. An order that an operator has changed has
 // another one.
--- a/canary/ratio.go
+++ b/canary/ratio.go
@@ -37,7 +37,7 @@
 // base returns an upper estimate of the share of bad answers.
 func (s sample) base() float64 {
 	share := (s.hits + 1) / (s.total + 2)
-	return max(share+baseMargin*math.Sqrt(share*(1-share)/(s.total+2)), lowestBase)
+	return max(share+float64(baseMargin*math.Sqrt(share*(1-share)/(s.total+2))), lowestBase)
 }
 
 // logRatio returns the logarithm of the likelihood of the sample if the share is higher than
@@ -46,7 +46,7 @@
 	const highest = 0.98
 	base = min(base, highest)
 	share := min(base+excess, (1+highest)/2)
-	return s.hits*math.Log(share/base) + (s.total-s.hits)*math.Log((1-share)/(1-base))
+	return float64(s.hits*math.Log(share/base)) + float64((s.total-s.hits)*math.Log((1-share)/(1-base)))
 }
 
 // against returns the logarithm of the evidence that a sample is worse than one of the old
--- a/canary/tally.go
+++ b/canary/tally.go
@@ -115,10 +115,10 @@
 
 // add adds a tally's counts, or takes them away if the sign is -1.
 func (c *counts) add(counted RouteTally, sign float64) {
-	c.answers += sign * float64(counted.Answers)
-	c.failures += sign * float64(counted.Failures)
+	c.answers += float64(sign * float64(counted.Answers))
+	c.failures += float64(sign * float64(counted.Failures))
 	for class, number := range counted.Durations[:min(len(counted.Durations), DurationClasses)] {
-		c.durations[class] += sign * float64(number)
+		c.durations[class] += float64(sign * float64(number))
 	}
 }
 
--- a/cost/estimator.go
+++ b/cost/estimator.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		if c := e.classes.find(m.key(f, features.classes[f])); c != nil {
-			deviation += m.features[f].weight(float64(c.weight)) * float64(c.mean)
+			deviation += float64(m.features[f].weight(float64(c.weight)) * float64(c.mean))
 			basis++
 		}
 	}
@@ -117,8 +117,8 @@
 		m.logMean = sample
 	}
 	rest := min(max(sample-m.logMean, -maxStep), maxStep)
-	m.logMean += weight * rest
-	m.variance += weight * (rest*rest - m.variance)
+	m.logMean += float64(weight * rest)
+	m.variance += float64(weight * (float64(rest*rest) - m.variance))
 	m.typical = math.Exp(m.logMean) * float64(time.Second)
 	rest -= slowness
 	for f := range featureCount {
@@ -126,7 +126,7 @@
 			rest -= e.observeClass(m, f, features.classes[f], rest, now)
 		}
 	}
-	m.spread += weight * (rest*rest - m.spread)
+	m.spread += float64(weight * (float64(rest*rest) - m.spread))
 }
 
 // observeClass adds a sample to the class of a request in one feature. It returns the
@@ -150,11 +150,11 @@
 	x.samples = min(x.samples+1, 1/minRouteWeight)
 	// One earlier sample says less about its class than many.
 	trust := evidence / (evidence + 1)
-	product := rest * mean * trust
+	product := float64(rest * mean * trust)
 	weight := 1 / x.samples
-	x.between += weight * (product - x.between)
-	x.square += weight * (product*product - x.square)
-	x.within += weight * (rest*rest - x.within)
+	x.between += float64(weight * (product - x.between))
+	x.square += float64(weight * (float64(product*product) - x.square))
+	x.within += float64(weight * (float64(rest*rest) - x.within))
 }
 
 // tells reports whether the classes differ by more than chance explains.
@@ -162,14 +162,14 @@
 	if x.samples < minEvidence || x.between <= minGain*variance {
 		return false
 	}
-	deviation := math.Max(0, x.square-x.between*x.between)
+	deviation := math.Max(0, x.square-float64(x.between*x.between))
 	return x.between*x.between*x.samples > significance*significance*deviation
 }
 
 // weight returns how much of the mean deviation of a class is believed, given the
 // weight of its samples.
 func (x *explained) weight(evidence float64) float64 {
-	between := evidence * x.between
+	between := float64(evidence * x.between)
 	return between / (between + math.Max(x.within-x.between, minGain*x.within))
 }
 
--- a/farm/clock.go
+++ b/farm/clock.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math/rand/v2"
 	"time"
 )
 
@@ -69,3 +70,8 @@
 	*eq = (*eq)[:len(*eq)-1]
 	return last
 }
+
+// uniform returns a number between low and high.
+func uniform(source *rand.Rand, low, high float64) float64 {
+	return low + float64((high-low)*source.Float64())
+}
--- a/farm/farm.go
+++ b/farm/farm.go
@@ -155,7 +155,7 @@
 	cl := &Call{
 		Long: ex.rng.Float64() < ex.LongShare, Importance: importanceOf(ex.rng.Float64()), ArrivedAt: ex.clock.now,
 		balancer: balancer, route: "short", remaining: ex.candidates(),
-		work: time.Duration(float64(ex.Work) * (0.5 + ex.rng.ExpFloat64()/2)),
+		work: time.Duration(float64(ex.Work) * (0.5 + float64(ex.rng.ExpFloat64()/2))),
 	}
 	ex.assignTeam(cl)
 	cl.Deadline = cl.ArrivedAt.Add(ex.Deadline)
--- a/farm/mesh.go
+++ b/farm/mesh.go
@@ -114,7 +114,7 @@
 
 func (me *meshRun) scheduleCall(node *meshNode) {
 	wave := 2 * math.Pi * (me.clock.now.Sub(me.start).Seconds()/swingPeriod.Seconds() + float64(node.zone)/float64(me.Zones))
-	rate := me.Demand * (1 + me.Swing*math.Sin(wave)) * me.capacity() / float64(me.Nodes)
+	rate := me.Demand * (1 + float64(me.Swing*math.Sin(wave))) * me.capacity() / float64(me.Nodes)
 	me.clock.after(time.Duration(me.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		me.startCall(node)
 		me.scheduleCall(node)
@@ -123,7 +123,7 @@
 
 // meanFactor returns the mean of the factors of the work before it is scaled to Work.
 func (me *meshRun) meanFactor() float64 {
-	heavy := 1 + me.HeavyShare*(max(me.HeavyFactor, 1)-1)
+	heavy := 1 + float64(me.HeavyShare*(max(me.HeavyFactor, 1)-1))
 	return heavy * math.Exp(me.Spread*me.Spread/2)
 }
 
@@ -143,7 +143,7 @@
 	if cl.Heavy {
 		factor *= me.HeavyFactor
 	}
-	cl.work = time.Duration(float64(me.Work) * factor / me.scale * (0.9 + 0.2*me.rng.Float64()))
+	cl.work = time.Duration(float64(me.Work) * factor / me.scale * (0.9 + float64(0.2*me.rng.Float64())))
 	cl.features = cost.Describe("GET", fmt.Sprintf("/things/%d", kind), 0)
 }
 
@@ -179,7 +179,7 @@
 // forDear reports whether an upstream is kept for dear requests. Their share of the
 // upstreams is that of the work.
 func (me *meshRun) forDear(ow *meshOwner) bool {
-	dear := me.HeavyShare * me.HeavyFactor / (1 + me.HeavyShare*(me.HeavyFactor-1))
+	dear := me.HeavyShare * me.HeavyFactor / (1 + float64(me.HeavyShare*(me.HeavyFactor-1)))
 	kept := int(math.Round(dear * float64(me.Upstreams)))
 	return ow.index >= me.Upstreams-kept
 }
--- a/farm/meshowner.go
+++ b/farm/meshowner.go
@@ -40,7 +40,7 @@
 		controller: admit.NewController(admit.WithSeed(me.Seed)), jobs: map[types.WorkID]*meshJob{}, slowness: 1,
 	}
 	if me.Speeds {
-		ow.slowness = 1 / (0.5 + me.rng.Float64())
+		ow.slowness = 1 / uniform(me.rng, 0.5, 1.5)
 	}
 	ow.noisy = me.rng.Float64() < me.NoiseShare
 	ow.phase = time.Duration(me.rng.Float64() * float64(noisePeriod))
--- a/farm/result.go
+++ b/farm/result.go
@@ -170,7 +170,7 @@
 func (su Surge) Demand(since time.Duration) float64 {
 	rise := float64(since-su.Start) / float64(su.RampDuration)
 	fall := float64(su.End()-since) / float64(su.RampDuration)
-	return su.BaseDemand + (su.PeakDemand-su.BaseDemand)*min(1, max(0, min(rise, fall)))
+	return su.BaseDemand + float64((su.PeakDemand-su.BaseDemand)*min(1, max(0, min(rise, fall))))
 }
 
 // Recovery returns the time from the end of the surge until the calls are answered
--- a/flow/budget.go
+++ b/flow/budget.go
@@ -47,13 +47,13 @@
 // Both Ratio and Slack are reduced to budgetFraction.
 func (bu RetryBudget) perNode(nodes int) RetryBudget {
 	bu.Ratio *= budgetFraction
-	bu.Slack *= budgetFraction / float64(nodes)
+	bu.Slack = float64(bu.Slack * budgetFraction / float64(nodes))
 	return bu
 }
 
 // allows reports whether the budget allows one more additional attempt.
 func (bu RetryBudget) allows(requests, repeats float64) bool {
-	return repeats+1 <= bu.Ratio*requests+bu.Slack
+	return repeats+1 <= float64(bu.Ratio*requests)+bu.Slack
 }
 
 // slidingWindow counts the events in the most recent time window.
@@ -173,7 +173,7 @@
 	}
 	team := sb.team(name, now)
 	requests, repeats := team.requests.sum(now), team.repeats.sum(now)
-	budget.Slack *= requests / max(sb.requests.sum(now), 1)
+	budget.Slack = float64(budget.Slack * requests / max(sb.requests.sum(now), 1))
 	return repeats == 0 || budget.allows(requests, repeats)
 }
 
--- a/flow/delay.go
+++ b/flow/delay.go
@@ -39,7 +39,7 @@
 	}
 	hg.total = 0
 	for i := range hg.counts {
-		hg.counts[i] *= decayFactor
+		hg.counts[i] = float64(hg.counts[i] * decayFactor)
 		hg.total += hg.counts[i]
 	}
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -157,7 +157,7 @@
 
 // room returns how many tokens the stock may have with a share of the limit.
 func (ac *account) room(share float64) float64 {
-	return ac.ceiling*share - ac.granted.sum - ac.grantedAhead.sum
+	return float64(ac.ceiling*share) - ac.granted.sum - ac.grantedAhead.sum
 }
 
 func (lg *Ledger) settleAll(now time.Time) {
@@ -170,7 +170,7 @@
 func (lg *Ledger) settle(acc *account, now time.Time) {
 	share := min(1, lg.held[acc.slot])
 	if elapsed := now.Sub(acc.settledAt); elapsed > 0 {
-		acc.stock += acc.limit.Rate * share * elapsed.Seconds()
+		acc.stock += float64(acc.limit.Rate * share * elapsed.Seconds())
 		acc.settledAt = now
 	}
 	acc.granted.expire(now)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -36,7 +36,7 @@
 func (b Bound) ceiling(limit Limit) float64 {
 	const part = 0.75
 	window := b.Window.Seconds()
-	return part * (limit.Burst*(1+b.Over) + limit.Rate*window*b.Over + b.Slack)
+	return part * (float64(limit.Burst*(1+b.Over)) + float64(limit.Rate*window*b.Over) + b.Slack)
 }
 
 // Limit is the limit of one team: requests per second, and how many more at once.
--- a/quota/take.go
+++ b/quota/take.go
@@ -221,7 +221,7 @@
 // ahead returns the number of tokens that the node's requests of a team need for the time
 // that it asks ahead.
 func (ac *account) ahead() float64 {
-	return ac.use.demand * min(maxAhead, ac.valid*4/5).Seconds()
+	return float64(ac.use.demand * min(maxAhead, ac.valid*4/5).Seconds())
 }
 
 // itemsFor returns what the node hands to a pool and what it wants of it.
@@ -324,6 +324,6 @@
 	if us.arrived > 0 {
 		us.usedAt = now
 	}
-	us.demand += demandWeight * (float64(us.arrived)/elapsed - us.demand)
+	us.demand += float64(demandWeight * (float64(us.arrived)/elapsed - us.demand))
 	us.arrived, us.sweptAt = 0, now
 }
--- a/route/explain.go
+++ b/route/explain.go
@@ -119,14 +119,14 @@
 
 // parts divides what expectedEnd returns.
 func (r *Rating) parts() ScoreParts {
-	own, utilization := float64(r.TypicalDuration)*math.Exp(r.scoredSlowness()), r.utilization()
-	wait := 2 * own * math.Max(0, utilization-1)
+	own, utilization := float64(float64(r.TypicalDuration)*math.Exp(r.scoredSlowness())), r.utilization()
+	wait := float64(2 * own * math.Max(0, utilization-1))
 	if r.informed() {
 		own, utilization = r.usual, (r.Ahead+1)/(r.slots()*r.Candidate.ramp(r.Now))
 		if r.Candidate.CostFactor > 0 {
 			own *= r.Candidate.CostFactor
 		}
-		wait = waitWeight * r.slotWait(utilization)
+		wait = float64(waitWeight * r.slotWait(utilization))
 	}
 	limits := r.linkWait() + r.State.rateWait(r.Now)
 	return ScoreParts{
--- a/route/policy.go
+++ b/route/policy.go
@@ -78,7 +78,7 @@
 	return Policy{Choose: TwoChoices, Score: func(rating *Rating) float64 {
 		left, _ := rating.State.Load.Left.Get()
 		since := float64(rating.State.Outstanding - rating.State.outstandingAtReport)
-		return float64(left.Drain) + since/rating.slots()*float64(rating.TypicalDuration)
+		return float64(left.Drain) + float64(since/rating.slots()*float64(rating.TypicalDuration))
 	}}
 }
 
@@ -94,7 +94,7 @@
 		own *= rating.Candidate.CostFactor
 	}
 	utilization := (rating.Ahead + 1) / (rating.slots() * rating.Candidate.ramp(rating.Now))
-	return own*(1+math.Min(1, utilization)) + waitWeight*rating.slotWait(utilization) + rating.otherCosts(own)
+	return float64(own*(1+math.Min(1, utilization))) + float64(waitWeight*rating.slotWait(utilization)) + rating.otherCosts(own)
 }
 
 // slotWait returns the believed wait for a slot in nanoseconds. An upstream that warms up
@@ -110,7 +110,7 @@
 // slot: the way, the limits of the upstream, and the likely cost of a failure of work of
 // the given duration.
 func (r *Rating) otherCosts(own float64) float64 {
-	return r.ExcessFaultShare*(own+float64(failurePenalty)) + float64(r.penalty())
+	return float64(r.ExcessFaultShare*(own+float64(failurePenalty))) + float64(r.penalty())
 }
 
 // informed reports whether more is known of the candidate than counts of attempts.
@@ -153,8 +153,8 @@
 	if slowness := rating.scoredSlowness(); slowness != 0 {
 		serviceTime *= math.Exp(slowness)
 	}
-	faultCost := rating.ExcessFaultShare * (serviceTime + float64(failurePenalty))
-	return serviceTime*(1+utilization+math.Max(0, utilization-1)) + faultCost + float64(rating.penalty())
+	faultCost := float64(rating.ExcessFaultShare * (serviceTime + float64(failurePenalty)))
+	return float64(serviceTime*(1+utilization+math.Max(0, utilization-1))) + faultCost + float64(rating.penalty())
 }
 
 // linkWait estimates how long a large answer waits for the network link of the
@@ -239,7 +239,7 @@
 func LowestWithJitter(scores []float64, source *rand.Rand) int {
 	best, lowest := 0, math.Inf(1)
 	for i, score := range scores {
-		if jittered := score * (1 + scoreJitter*source.Float64()); jittered < lowest {
+		if jittered := score * (1 + float64(scoreJitter*source.Float64())); jittered < lowest {
 			best, lowest = i, jittered
 		}
 	}
--- a/route/state.go
+++ b/route/state.go
@@ -168,7 +168,7 @@
 // addSample updates the average with a log ratio (see logRatio).
 func (s *UpstreamState) addSample(ratio, weight float64, now time.Time) {
 	s.meanLogRatio = s.decayedLogRatio(now)
-	s.meanLogRatio += weight * (ratio - s.meanLogRatio)
+	s.meanLogRatio += float64(weight * (ratio - s.meanLogRatio))
 	s.lastSample, s.UpdatedAt = now, now
 }
 
@@ -201,7 +201,7 @@
 			if weight == 0 {
 				weight = s.weight(now)
 			}
-			average += weight * (ratio - average)
+			average += float64(weight * (ratio - average))
 			weight = minWeight
 		}
 	}
@@ -215,7 +215,7 @@
 		s.Latency = elapsed
 		return
 	}
-	s.Latency = time.Duration(float64(s.Latency)*weight + float64(elapsed)*(1-weight))
+	s.Latency = time.Duration(float64(float64(s.Latency)*weight) + float64(float64(elapsed)*(1-weight)))
 }
 
 // ahead estimates how many attempts run or wait at the upstream when a new one
--- a/route/work.go
+++ b/route/work.go
@@ -37,7 +37,7 @@
 		return
 	}
 	slowness := math.Log(float64(sample.Lasting) / float64(usual.Typical))
-	state.lasting += lastingWeight * (min(max(slowness, -maxLasting), maxLasting) - state.lasting)
+	state.lasting += float64(lastingWeight * (min(max(slowness, -maxLasting), maxLasting) - state.lasting))
 }
 
 // usualElapsed returns how long the attempt of a sample would have lasted with the usual
@@ -63,10 +63,10 @@
 	if r.groupWeight == 0 {
 		return
 	}
-	weight := sign * r.groupWeight
+	weight := float64(sign * r.groupWeight)
 	g.weight += weight
-	g.load += weight * r.reportedLoad
-	g.wait += weight * r.reportedWait
+	g.load += float64(weight * r.reportedLoad)
+	g.wait += float64(weight * r.reportedWait)
 }
 
 // believe fills the beliefs about the load of the candidates. A report tells less the
@@ -120,7 +120,7 @@
 	if r.fresh = age < loadExpiry; r.fresh {
 		free := max(0, r.Candidate.Slots-state.Load.Outstanding)
 		since := max(0, state.Outstanding-state.outstandingAtReport-free)
-		r.Wait = float64(left.SlotWait) + float64(since)/slots*r.usual
+		r.Wait = float64(left.SlotWait) + float64(float64(since)/slots*r.usual)
 	}
 }
 
@@ -132,8 +132,8 @@
 	}
 	trust := faded(r.reportAge, trustAge)
 	own := r.State.Outstanding
-	r.Ahead = math.Max(float64(own), trust*r.Ahead+(1-trust)*g.load/g.weight*r.slots())
-	r.Wait = math.Max(r.waitBehind(own), trust*r.Wait+(1-trust)*g.wait/g.weight)
+	r.Ahead = math.Max(float64(own), float64(trust*r.Ahead)+float64((1-trust)*g.load/g.weight*r.slots()))
+	r.Wait = math.Max(r.waitBehind(own), float64(trust*r.Wait)+(1-trust)*g.wait/g.weight)
 }
 
 // waitBehind returns how long a new attempt waits behind a number of others of the usual
@@ -145,5 +145,5 @@
 // faded returns a weight that falls with the age, to a quarter at the age of quarter.
 func faded(age, quarter time.Duration) float64 {
 	root := float64(quarter) / float64(quarter+max(0, age))
-	return root * root
+	return float64(root * root)
 }
--- a/stat/duration.go
+++ b/stat/duration.go
@@ -133,7 +133,7 @@
 		es.logMean = sample
 	}
 	step := min(max(sample-es.logMean, -maxStep), maxStep)
-	es.logMean += weight * step
+	es.logMean += float64(weight * step)
 	es.typical = time.Duration(math.Exp(es.logMean)).Round(time.Microsecond)
 	es.updated = now
 }
--- a/stat/hitrate.go
+++ b/stat/hitrate.go
@@ -25,7 +25,7 @@
 // is a hit.
 func (hr *HitRate) Observe(hit bool, now time.Time) {
 	decay := hr.decay(now)
-	hr.hits, hr.total, hr.at = hr.hits*decay, hr.total*decay+1, now
+	hr.hits, hr.total, hr.at = hr.hits*decay, float64(hr.total*decay)+1, now
 	if hit {
 		hr.hits++
 	}
@@ -35,7 +35,7 @@
 // falls towards 0 while no events are observed.
 func (hr *HitRate) Value(now time.Time) float64 {
 	decay := hr.decay(now)
-	return hr.hits * decay / (hr.total*decay + hitRatePrior)
+	return hr.hits * decay / (float64(hr.total*decay) + hitRatePrior)
 }
 
 // decay returns the factor by which the weights of all events have decayed between
--- a/stat/size.go
+++ b/stat/size.go
@@ -19,7 +19,7 @@
 	mean, known := si.routes[route]
 	switch {
 	case known:
-		si.routes[route] = mean + sizeWeight*(float64(size)-mean)
+		si.routes[route] = mean + float64(sizeWeight*(float64(size)-mean))
 	case len(si.routes) < maxRoutes:
 		si.routes[route] = float64(size)
 	}
