Close a connection after a refusal, and take no call that outlives a stop

Cause of the first: a connection was kept after an upstream's refusal. A refusal that the upstream wrote once more came where the next answer was due, and the next request counted as not run although it ran: always without echoed identifiers, and with them if the second copy bore the identifier of the second request. Change: no connection is kept after a refusal, and on a connection that has carried another request a refusal without an identifier counts as unknown.

Cause of the second: a stopping node took calls until its linger time ended, however long they might run, and exited at its stop limit. Ruled out: the closing of idle connections; what is cut there was never read.

--- a/core/entry.go
+++ b/core/entry.go
@@ -38,6 +38,10 @@
 		err := fault.New(fault.DeadlineExceeded, "the deadline came while the node was paused").WithRetryAfter(defaultRetryAfter)
 		return append(effects, refuseCall(event, err)...)
 	}
+	if st.stop.outlives(now.Add(limit)) {
+		err := fault.New(fault.Stopping, "the node stops before the call's deadline").WithRetryAfter(defaultRetryAfter)
+		return append(effects, refuseCall(event, err)...)
+	}
 	call := flow.Call{
 		ID: event.Call, Request: event.Request, Key: event.Key, Content: content,
 		Features: event.Features.WithTeam(team.Name).WithContent(content),
--- a/core/state.go
+++ b/core/state.go
@@ -54,6 +54,7 @@
 	policies  Policies
 	admission []admit.Option
 	linger    time.Duration
+	stopLimit time.Duration
 	limits    flow.KeyLimits
 	ledger    []flow.LedgerOption
 	calls     []flow.Option
@@ -92,6 +93,12 @@
 	return func(se *settings) { se.linger = linger }
 }
 
+// WithStopLimit sets the maximum duration of a graceful stop. A stopping node takes no
+// call whose deadline is later than that. The default is no limit.
+func WithStopLimit(limit time.Duration) Option {
+	return func(se *settings) { se.stopLimit = limit }
+}
+
 // WithKeys sets the limits on the age of idempotency keys, and the options of the
 // ledger that records the keys.
 func WithKeys(limits flow.KeyLimits, opts ...flow.LedgerOption) Option {
@@ -124,7 +131,7 @@
 		callerRetries: flow.NewRetryTracker(),
 		policies:      se.policies,
 		blame:         blame.NewLedger(self.ID),
-		stop:          stopProgress{linger: se.linger},
+		stop:          stopProgress{linger: se.linger, limit: se.stopLimit},
 		poller:        rootPoller{interval: se.pollInterval, rand: rand.New(rand.NewPCG(se.seed, ^se.seed))},
 		limits:        limitState{bound: se.quota, seed: se.seed},
 		rollouts:      newRollouts(self, se.exposure),
--- a/core/stop.go
+++ b/core/stop.go
@@ -15,8 +15,13 @@
 type stopProgress struct {
 	// linger is the configured minimum time between the request to stop and the
 	// exit.
-	linger    time.Duration
+	linger time.Duration
+	// limit is the maximum time between the request to stop and the exit, or 0 if
+	// there is none.
+	limit     time.Duration
 	requested bool
+	// endsAt is when the node exits at the latest, or zero.
+	endsAt time.Time
 	// lingerUntil is the earliest time at which the node may exit.
 	lingerUntil time.Time
 	// drained is true once the stop is complete.
@@ -25,13 +30,16 @@
 
 // stopRequested starts a graceful stop: the node announces that it is leaving and
 // refuses new work for its upstream from now on. As an entry node, it accepts
-// calls until lingerUntil.
+// calls until lingerUntil, if they end before the node exits.
 func (st *State) stopRequested(now time.Time) []types.Effect {
 	if st.stop.requested {
 		return nil
 	}
 	st.stop.requested = true
 	st.stop.lingerUntil = now.Add(st.lingerDuration())
+	if st.stop.limit > 0 {
+		st.stop.endsAt = now.Add(st.stop.limit)
+	}
 	st.fleet.AnnounceLeaving()
 	effects := []types.Effect{trace.Event{Kind: trace.NodeStopping, Subject: st.fleet.Self().ID}}
 	effects = append(effects, st.fleet.Push()...)
@@ -62,3 +70,9 @@
 	st.fleet.AnnounceLeft()
 	return append(st.fleet.Push(), Drained{})
 }
+
+// outlives reports whether a call with the given deadline may still run when the node
+// has to exit. Its answer would then be cut.
+func (sp stopProgress) outlives(deadline time.Time) bool {
+	return !sp.endsAt.IsZero() && deadline.After(sp.endsAt)
+}
--- a/fakes/crash.go
+++ b/fakes/crash.go
@@ -68,6 +68,8 @@
 	Work, SlowWork, EndsAfter time.Duration
 	DownFor                   time.Duration
 	Log                       *CrashLog
+	// OnRun is called with the path of each request that runs. It may be nil.
+	OnRun func(path string)
 
 	address string
 	mu      sync.Mutex
@@ -139,6 +141,9 @@
 		cu.end(process)
 		panic(http.ErrAbortHandler)
 	}
+	if cu.OnRun != nil {
+		cu.OnRun(request.URL.Path)
+	}
 	if strings.HasSuffix(request.URL.Path, "/slow") {
 		time.Sleep(cu.SlowWork)
 	}
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -39,6 +39,8 @@
 	maxLateRuns = 3
 	fleetWait   = 20 * time.Second
 	callLimit   = 2 * time.Second
+	stopLinger  = 600 * time.Millisecond
+	stopLimit   = 1500 * time.Millisecond
 )
 
 // crashFleet is a fleet of nodes, each with a fakes.CrashingUpstream.
@@ -54,6 +56,10 @@
 	running   sync.WaitGroup
 	endsAfter time.Duration
 	downFor   time.Duration
+	// ran holds the paths of all requests that an upstream has run.
+	ran sync.Map
+	// leave stops a node gracefully, by its number.
+	leave []context.CancelFunc
 	// stop stops all nodes and waits until they have ended.
 	stop func()
 }
@@ -88,7 +94,7 @@
 	zones := []types.Zone{"kolkata", "howrah", "haldia"}
 	nd, err := node.New(node.Settings{
 		Instance: types.InstanceID(fmt.Sprintf("i%d", number)), Zone: zones[number%len(zones)], Region: "bengal-west",
-		Listen: anyPort, PeerListen: anyPort, AdminListen: anyPort, MaxBody: 1 << 20, StopLimit: time.Second, Seed: uint64(number),
+		Listen: anyPort, PeerListen: anyPort, AdminListen: anyPort, MaxBody: 1 << 20, StopLinger: stopLinger, StopLimit: stopLimit, Seed: uint64(number),
 		KeyLimits: flow.KeyLimits{Margin: 100 * time.Millisecond, Retention: time.Minute}, Policies: core.DefaultPolicies(), PlainText: node.AllPlainText(),
 	}, fl.store)
 	if err != nil {
@@ -97,6 +103,7 @@
 	fl.nodes = append(fl.nodes, nd)
 	upstream := &fakes.CrashingUpstream{
 		Path: crashPath, Bodies: []string{crashBody, otherCrashBody}, Work: 50 * time.Millisecond, SlowWork: time.Second, EndsAfter: fl.endsAfter, DownFor: fl.downFor, Log: &fl.log,
+		OnRun: func(path string) { fl.ran.Store(path, true) },
 	}
 	address, err := upstream.Start()
 	if err != nil {
@@ -104,7 +111,9 @@
 	}
 	fl.upstreams = append(fl.upstreams, upstream)
 	fl.t.Cleanup(upstream.Close)
-	fl.running.Go(func() { _ = nd.Run(fl.ctx) })
+	ctx, leave := context.WithCancel(fl.ctx)
+	fl.leave = append(fl.leave, leave)
+	fl.running.Go(func() { _ = nd.Run(ctx) })
 	fl.running.Go(func() { fl.announce(nd, upstream, address) })
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -217,6 +217,7 @@
 		core.WithPolicies(nd.settings.Policies),
 		core.WithKeys(nd.settings.KeyLimits),
 		core.WithLinger(nd.settings.StopLinger),
+		core.WithStopLimit(nd.settings.StopLimit),
 		core.WithRecordRead(recordReadLimit),
 		core.WithPolling(nd.settings.PollInterval),
 	}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -66,7 +66,8 @@
 		}
 		return unknownOutcomeResult(brokenResponseError(causeOf(ctx, err))), true
 	}
-	if !stop() || !pending.finished() || result.Verdict == flow.Lost {
+	// After a refusal, the upstream may write it again, where the next answer is due.
+	if !stop() || !pending.finished() || result.Verdict != flow.Answered {
 		keep = 0
 	}
 	up.putConn(conn, keep, ow.now())
@@ -204,8 +205,9 @@
 // the job. On a reused connection, a late answer to an earlier request may come
 // first: checkEcho then returns true, and readResponse skips that answer. checkEcho
 // returns an error if the response cannot be the answer to the job, or if
-// requireEcho is true and the response echoes no identifier. A refusal on a new
-// connection need not echo an identifier.
+// the response echoes no identifier although it must: requireEcho is true, or it is a
+// refusal on a reused connection, which may belong to an earlier request. A refusal on a
+// new connection need not echo an identifier.
 func (ow *Owner) checkEcho(response *http.Response, conn *upstreamConn, job Job, requireEcho bool) (bool, error) {
 	echo := ow.dialect.Echo(response.Header)
 	switch {
@@ -215,7 +217,7 @@
 		return false, fault.New(fault.BrokenAnswer, "the upstream answered the request %q", echo)
 	case echo != "":
 		return true, nil
-	case requireEcho && (conn.reused || ow.dialect.Refusal(response) == nil):
+	case ow.dialect.Refusal(response) != nil && conn.reused, ow.dialect.Refusal(response) == nil && requireEcho:
 		return false, fault.New(fault.BrokenAnswer, "the upstream's answer does not echo the request identifier")
 	default:
 		return false, nil
