Let an upstream serve while its node is stopped

Change: a stopping node goes on to accept work for its upstream until 0.7 s before the end of its linger time, if the work ends before the node exits; then it says that it leaves. It isn't ready from the first moment, as before. TestUpstreamServesDuringAStop failed before. TestGracefulStop asked for a refusal from the first moment; it now asks for an answer first, and a refusal before the end.

--- a/core/join.go
+++ b/core/join.go
@@ -59,10 +59,10 @@
 		case fleet.DepartureLearned:
 			events = append(events, st.departureLearned(ef.Departure, now)...)
 		case fleet.Superseded:
-			if !st.stop.requested {
+			if !st.stop.closed {
 				detail := "a later process runs at " + string(ef.By.Address)
 				events = append(events, trace.Event{Kind: trace.InstanceDuplicated, Subject: ef.By.ID, Detail: detail})
-				events = append(events, st.stopRequested(now)...)
+				events = append(events, st.superseded(now)...)
 			}
 		}
 	}
--- a/core/owner.go
+++ b/core/owner.go
@@ -299,7 +299,7 @@
 // now, or nil if it can.
 func (st *State) admissionError(work admit.WorkItem, now time.Time) *fault.Error {
 	switch {
-	case st.stop.requested:
+	case st.stop.closed, st.stop.outlives(work.Deadline):
 		return fault.New(fault.Stopping, "the upstream's node is stopping").WithRetryAfter(defaultRetryAfter)
 	case !st.joined():
 		return fault.New(fault.NotReady, "the upstream's node has not joined the fleet").WithRetryAfter(defaultRetryAfter)
