Preview with one copy for the estimate and one for the outcome

An explanation named an estimated wait of 17 ms where the refusal then said 42 ms. Cause: the preview estimated the wait and foretold the outcome on the same copy of the controller. A work item counts as asked for by its team each time, and the second time its team was in a surge. Change: a copy each. Work is served as before.

--- a/admit/explain.go
+++ b/admit/explain.go
@@ -29,11 +29,12 @@
 // no random number of the controller, so that the time to come back of a refusal differs
 // by the jitter.
 func (ct *Controller) Preview(work WorkItem, now time.Time) Preview {
-	copied := ct.Copy()
-	item := copied.newQueueItem(work, now)
+	// An item counts as asked for by its team, so that Submit gets a copy of its own.
+	estimated := ct.Copy()
+	item := estimated.newQueueItem(work, now)
 	preview := Preview{Expected: item.ExpectedDuration, Slots: ct.slots, Running: ct.Running(), Queued: ct.Queued()}
-	wait := copied.estimateWait(item, copied.countAhead(item, work.Importance, now), now)
-	for _, effect := range copied.Submit(work, now) {
+	wait := estimated.estimateWait(item, estimated.countAhead(item, work.Importance, now), now)
+	for _, effect := range ct.Copy().Submit(work, now) {
 		switch ef := effect.(type) {
 		case Dispatch:
 			preview.Runs = true
