--- a/proxy/repeat_test.go
+++ b/proxy/repeat_test.go
@@ -20,10 +20,11 @@
 	"sequoiamill.example/sequoiamill/types"
 )
 
-// rawServer is a stand-in for an upstream or an owner. It answers the requests on its first
-// connection with the given bytes, one after the other, and each request on a later one
-// with the last of them. In them, @id is the identifier of the request.
+// rawServer is a stand-in for an upstream or an owner. In its answers, @id is the identifier
+// of the request.
 type rawServer struct {
+	// first holds the answers on the first connection, one for each request, and later is
+	// the answer to every other request.
 	first []string
 	later string
 	// hangUp closes each connection after an answer, with a reset if reset is true.
--- a/proxy/result.go
+++ b/proxy/result.go
@@ -86,6 +86,7 @@
 	header.Set(headerStatus, strconv.Itoa(result.Response.Status))
 	header.Set(headerDigest, bodyDigest(body))
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	// The reply to a plain job is plain, and says that compact ones are taken.
 	if header.Get(headerTakesCompact) == "" {
 		compact(header)
 	}
