Show that bookings with an Idempotency-Key are refused

Cause: an owner takes the client's header for the key of a keyed job, although hosted nodes know no such keys, and answers 400 unless it is a UUID of version 7.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(rc *recorder, trouble bool) ([]string, error){
 	"stop":  stopCase,
 	"limit": limitCase,
+	"key":   keyCase,
 	"hold":  holdCase,
 }
 
