Show that a few large bodies at once make a node exceed its memory

Cause: the entry reads the whole body before it decides on a request, and so does the owner; nothing bounds how many bodies are held at the same time. Change: case 3 of the review, a script.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,10 +10,10 @@
 
 // cases are the cases by their name. Each returns how the rule was broken, or nothing.
 var cases = map[string]func(rc *recorder, trouble bool) ([]string, error){
-	"stop":  stopCase,
-	"limit": limitCase,
-	"key":   keyCase,
-	"hold":  holdCase,
+	"stop":   stopCase,
+	"limit":  limitCase,
+	"upload": uploadCase,
+	"hold":   holdCase,
 }
 
 func main() {
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -37,6 +37,8 @@
 	// misses counts the questions in a row that were not answered with 200.
 	misses int
 	in     bool
+	// peak is the most memory that the node had, in bytes.
+	peak   int
 	target *target
 }
 
@@ -88,7 +90,7 @@
 [Limits]
 CpuShare = 0.32
 CpuCores = 1
-MemoryMb = 284
+MemoryMb = %d
 MaxFds = %d
 LinkMbps = %.1f
 DiskMb = 0
@@ -126,7 +128,7 @@
 ValueBytes = 1048576
 TtlMinMs = 1000
 `, mc.name, mc.ip, mc.zone, mc.internal, mc.internal, first, mc.app, mc.service, mc.lab.zoneTable(),
-		mc.inbound, mc.outbound, mc.ready, mc.control, maxFds, mc.link, mc.lab.store.address)
+		mc.inbound, mc.outbound, mc.ready, mc.control, memoryMb, maxFds, mc.link, mc.lab.store.address)
 	return os.WriteFile(mc.boot, []byte(text), 0o600)
 }
 
