Show that a node ends when it has no descriptor for a connection

Cause: the server of callers ends at any error of Accept, also "too many open files", and with it the process.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(rc *recorder, trouble bool) ([]string, error){
 	"stop":   stopCase,
 	"limit":  limitCase,
+	"crowd":  crowdCase,
 	"upload": uploadCase,
 	"hold":   holdCase,
 }
