Show that a version which turns bad late in a roll-out is completed

Cause: the version is trusted a quarter of the order's time, and 5 s at least, before the deadline, and gets all requests then; what speaks against it after that comes too late or is too weak. It takes no case's place.

--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -30,6 +30,8 @@
 
 	mu   sync.Mutex
 	runs []run
+	// failures are the times at which a target failed a request.
+	failures []time.Time
 }
 
 func (lb *lab) running() bool { return !lb.ended.Load() }
@@ -41,6 +43,14 @@
 	lb.record.note("target %s of %s runs %s %s, tenant %q", rn.target, rn.service, rn.id, rn.path, rn.tenant)
 }
 
+// failed notes that a target has failed a request.
+func (lb *lab) failed(id string) {
+	lb.mu.Lock()
+	lb.failures = append(lb.failures, time.Now())
+	lb.mu.Unlock()
+	lb.record.note("the run of %s fails", id)
+}
+
 // runsOf returns how often a request was run.
 func (lb *lab) runsOf(id string) []run {
 	lb.mu.Lock()
@@ -81,25 +91,15 @@
 		return lb, err
 	}
 	lb.store.put("config", "main", config)
-	for number, pl := range places {
-		mc := &machine{lab: lb, name: fmt.Sprintf("sidecar-%s-%d", pl.zone, number+1), zone: pl.zone, service: pl.service, link: pl.link, ip: fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+os.Getpid()/250%250, number+1)}
-		ports, err := freePorts(mc.ip, 6)
-		if err != nil {
+	for _, pl := range places {
+		if _, err := lb.add(pl); err != nil {
 			return lb, err
 		}
-		address := func(i int) string { return fmt.Sprintf("%s:%d", mc.ip, ports[i]) }
-		mc.inbound, mc.outbound, mc.ready, mc.control, mc.app, mc.internal = address(0), address(1), address(2), address(3), address(4), ports[5]
-		mc.boot = filepath.Join(folder, mc.name+".toml")
-		lb.machines = append(lb.machines, mc)
 	}
 	for _, mc := range lb.machines {
-		if err := mc.start(true); err != nil {
+		if err := mc.join(true); err != nil {
 			return lb, err
 		}
-		if err := mc.startTarget("i-" + newID()); err != nil {
-			return lb, err
-		}
-		go mc.probe()
 	}
 	if !lb.awaitReady(20 * time.Second) {
 		return lb, fmt.Errorf("the nodes did not become ready")
@@ -108,6 +108,36 @@
 	return lb, nil
 }
 
+// add adds a machine on which nothing runs yet.
+func (lb *lab) add(pl place) (*machine, error) {
+	number := len(lb.machines) + 1
+	mc := &machine{
+		lab: lb, name: fmt.Sprintf("sidecar-%s-%d", pl.zone, number), zone: pl.zone, service: pl.service, link: pl.link,
+		ip: fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+os.Getpid()/250%250, number),
+	}
+	ports, err := freePorts(mc.ip, 6)
+	if err != nil {
+		return nil, err
+	}
+	address := func(i int) string { return fmt.Sprintf("%s:%d", mc.ip, ports[i]) }
+	mc.inbound, mc.outbound, mc.ready, mc.control, mc.app, mc.internal = address(0), address(1), address(2), address(3), address(4), ports[5]
+	mc.boot = filepath.Join(lb.folder, mc.name+".toml")
+	lb.machines = append(lb.machines, mc)
+	return mc, nil
+}
+
+// join starts a machine's node and target. first is true if the whole system starts.
+func (mc *machine) join(first bool) error {
+	if err := mc.start(first); err != nil {
+		return err
+	}
+	if err := mc.startTarget("i-" + newID()); err != nil {
+		return err
+	}
+	go mc.probe()
+	return nil
+}
+
 func (lb *lab) awaitReady(limit time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		ready := 0
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,7 +14,9 @@
 	"limit":  limitCase,
 	"crowd":  crowdCase,
 	"upload": uploadCase,
-	"hold":   holdCase,
+	// rollout is no case of the review: the report has its result.
+	"rollout": rolloutCase,
+	"hold":    holdCase,
 }
 
 func main() {
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -34,6 +34,9 @@
 	command *exec.Cmd
 	started int
 	exited  chan struct{}
+	// version is that of the target, or empty for v1. bad says which of its requests fail.
+	version string
+	bad     func(path string) bool
 	// misses counts the questions in a row that were not answered with 200.
 	misses int
 	in     bool
@@ -77,7 +80,7 @@
 Discovery = "static"
 Entry = "static"
 HeartbeatMs = 1500
-Contracts = ["base","drain","config","cost","retry","recover","tenants","quota","platform"]
+Contracts = ["base","drain","config","cost","retry","recover","tenants","quota","rollout","platform"]
 AppAddr = %q
 Service = %q
 [Zones]
@@ -118,6 +121,9 @@
 QuotaWindowS = 5
 QuotaOver = 0.1
 QuotaSlack = 20
+ExposeShare = 0.1
+ExposeSlack = 50
+RollbackMs = 5000
 RecoveryS = 15
 [Platform]
 Address = %q
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -57,7 +58,7 @@
 	tg.sequence++
 	body := map[string]any{
 		"Address": tg.address, "born": tg.born,
-		"Info":   map[string]any{"Service": tg.mc.service, "Version": "v1", "Zone": tg.mc.zone, "Slots": slotCount},
+		"Info":   map[string]any{"Service": tg.mc.service, "Version": cmp.Or(tg.mc.version, "v1"), "Zone": tg.mc.zone, "Slots": slotCount},
 		"Status": map[string]any{"State": tg.state, "Sequence": tg.sequence, "ColdRemainingMs": 0},
 	}
 	tg.mu.Unlock()
@@ -148,8 +149,13 @@
 		writer.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
-	body := bodyOf(id, size)
-	writer.Header().Set("Response-Signature", signature(id, http.StatusOK, body))
-	writer.Header().Set("Content-Length", strconv.Itoa(size))
+	status, body := http.StatusOK, bodyOf(id, size)
+	if tg.mc.bad != nil && tg.mc.bad(request.URL.Path) {
+		status, body = http.StatusInternalServerError, []byte("failed")
+		tg.mc.lab.failed(id)
+	}
+	writer.Header().Set("Response-Signature", signature(id, status, body))
+	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	writer.WriteHeader(status)
 	_, _ = writer.Write(body)
 }
