Log how a node learns of a version and how it gets it

Cause: the logs of a node that lacks a version can't tell whether it has not heard of it, waits for a peer that does not answer, or has no zone delegate that reads the store. Change: events config-learned, config-pull-started, config-pull-ended and polling-changed; config-adopted names the kind of read; a counter of failed pulls. The end of a pull carries its time and error to the state machine. Ruled out: a line for each exchange, of which there are several a second.

--- a/conf/active.go
+++ b/conf/active.go
@@ -7,6 +7,17 @@
 	"sequoiamill.example/sequoiamill/types"
 )
 
+// Reading is how a node came to read the configuration from the platform.
+type Reading string
+
+// The ways in which a node reads the configuration.
+const (
+	ReadByWatch    Reading = "watch"
+	ReadByPoll     Reading = "poll"
+	ReadAtJoin     Reading = "join"
+	ReadAfterWrite Reading = "write"
+)
+
 // VersionOffered is the event that a configuration was fetched from the platform or
 // received from a peer. It carries the decoded snapshot, or the error if
 // fetching or decoding failed.
@@ -19,8 +30,9 @@
 	// digest is used instead.
 	Digest types.Hash
 	// FromPlatform is true if the configuration is the one that the platform
-	// currently stores.
+	// currently stores. Reading tells how it was read there.
 	FromPlatform bool
+	Reading      Reading
 	// Peer is the node that sent the configuration, or empty if none did.
 	Peer types.InstanceID
 	Err  *fault.Error
@@ -29,6 +41,8 @@
 // Origin describes where the configuration came from, for the timeline.
 func (o VersionOffered) Origin() string {
 	switch {
+	case o.FromPlatform && o.Reading != "":
+		return "from the platform, by " + string(o.Reading)
 	case o.FromPlatform:
 		return "from the platform"
 	case o.Peer != "":
--- a/core/join.go
+++ b/core/join.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"strconv"
 	"time"
 
 	"sequoiamill.example/sequoiamill/fleet"
@@ -56,6 +57,11 @@
 		case fleet.Duplicated:
 			detail := "an earlier process still runs at " + string(ef.Older.Address)
 			events = append(events, trace.Event{Kind: trace.InstanceDuplicated, Subject: ef.Older.ID, Detail: detail})
+		case fleet.VersionLearned:
+			detail := "in force " + strconv.FormatUint(uint64(st.config.Current().Version()), 10)
+			events = append(events, trace.Event{Kind: trace.ConfigLearned, Version: ef.Version, Subject: ef.Peer, Detail: detail})
+		case fleet.PullConfig:
+			events = append(events, trace.Event{Kind: trace.ConfigPullStarted, Version: ef.Version, Subject: ef.Peer})
 		case fleet.DepartureLearned:
 			events = append(events, st.departureLearned(ef.Departure, now)...)
 		case fleet.Superseded:
@@ -69,6 +75,15 @@
 	return events
 }
 
+// pullEnded records the end of a pull.
+func pullEnded(event fleet.PullEnded) types.Effect {
+	detail := "after " + event.After.Round(time.Millisecond).String()
+	if event.Err != nil {
+		detail += ": " + event.Err.Error()
+	}
+	return trace.Event{Kind: trace.ConfigPullEnded, Version: event.Version, Subject: event.Peer, Detail: detail}
+}
+
 // stateOf returns the state of a member as shown in the timeline.
 func stateOf(member fleet.Member) string {
 	switch {
--- a/core/reach.go
+++ b/core/reach.go
@@ -61,25 +61,40 @@
 // them.
 func (st *State) pollRoot(now time.Time) []types.Effect {
 	po := &st.poller
-	elected := st.fleet.IsDelegate() && !po.delegate
-	po.delegate = st.fleet.IsDelegate()
-	if elected {
-		po.due = now
-	}
+	effects := st.delegatePolling(now)
 	if !po.askedAt.IsZero() {
 		if po.delegate && now.Sub(po.askedAt) >= readPatience {
-			return st.detach(fault.New(fault.PlatformUnavailable, "no answer within %s", readPatience))
+			return append(effects, st.detach(fault.New(fault.PlatformUnavailable, "no answer within %s", readPatience))...)
 		}
-		return nil
+		return effects
 	}
 	self := st.fleet.Self()
 	polls := po.delegate && po.interval > 0 || self.Detached && !self.Leaving
 	if !polls || now.Before(po.due) {
-		return nil
+		return effects
 	}
 	po.askedAt = now
 	po.due = now.Add(po.wait(self.Detached, st.fleet.DetachedInZone()))
-	return []types.Effect{PollRoot{}}
+	return append(effects, PollRoot{})
+}
+
+// delegatePolling notes whether this node is a delegate. One that has just been elected
+// reads at once. It reports a change if delegates poll.
+func (st *State) delegatePolling(now time.Time) []types.Effect {
+	po := &st.poller
+	if po.delegate == st.fleet.IsDelegate() {
+		return nil
+	}
+	po.delegate = !po.delegate
+	detail := "ended"
+	if po.delegate {
+		detail = "began"
+		po.due = now
+	}
+	if po.interval == 0 {
+		return nil
+	}
+	return []types.Effect{trace.Event{Kind: trace.PollingChanged, Subject: st.fleet.Self().ID, Detail: detail}}
 }
 
 // wait returns the time until the next read, between half and one and a half times the
--- a/core/state.go
+++ b/core/state.go
@@ -318,7 +318,7 @@
 	case fleet.IndirectProbeEnded:
 		effects = st.fleet.HandleIndirectProbeEnded(ev, now)
 	case fleet.PullEnded:
-		effects = st.fleet.HandlePullEnded(ev, now)
+		effects = append(st.fleet.HandlePullEnded(ev, now), pullEnded(ev))
 	}
 	st.config.RaiseFloor(st.fleet.Self().HeldVersion)
 	return append(effects, st.timelineEvents(effects, now)...)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -1,8 +1,11 @@
 package fleet
 
 import (
+	"time"
+
 	"sequoiamill.example/sequoiamill/blame"
 	"sequoiamill.example/sequoiamill/canary"
+	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -97,15 +100,28 @@
 // Effect implements types.Effect.
 func (PullConfig) Effect() {}
 
-// PullEnded reports that the pull of a PullConfig effect succeeded or failed.
+// PullEnded reports that the pull of a PullConfig effect ended after the given time.
+// Err is nil if the peer sent a configuration, which may be of another version.
 type PullEnded struct {
 	Peer    types.InstanceID
 	Version types.Version
+	After   time.Duration
+	Err     *fault.Error
 }
 
 // Event implements types.Event.
 func (PullEnded) Event() {}
 
+// VersionLearned is the effect to report that a peer holds a configuration version
+// that this node lacks.
+type VersionLearned struct {
+	Peer    types.InstanceID
+	Version types.Version
+}
+
+// Effect implements types.Effect.
+func (VersionLearned) Effect() {}
+
 // Superseded is the effect to stop this process, because a process that started
 // later runs under the same instance ID. By is the record of the later process.
 type Superseded struct{ By Member }
--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -51,11 +51,13 @@
 	if version <= tb.version || version < tb.wanted.version {
 		return nil
 	}
+	var effects []types.Effect
 	if version > tb.wanted.version {
 		tb.wanted = wantedVersion{version: version, pulling: tb.wanted.pulling, nextPull: tb.nextPull(now)}
+		effects = append(effects, VersionLearned{Peer: source, Version: version})
 	}
 	tb.wanted.addSource(source)
-	return tb.tryPull(now)
+	return append(effects, tb.tryPull(now)...)
 }
 
 // WatchPause returns how long a node waits after an event of its watch on the platform
--- a/node/effect.go
+++ b/node/effect.go
@@ -146,17 +146,26 @@
 // pullConfig fetches a configuration from a peer, unless the version in force is
 // at or above the version that the peer reported.
 func (nd *Node) pullConfig(effect fleet.PullConfig) {
-	defer nd.loop.post(fleet.PullEnded{Peer: effect.Peer, Version: effect.Version})
-	if nd.version() >= effect.Version {
-		return
+	ended := fleet.PullEnded{Peer: effect.Peer, Version: effect.Version}
+	began := nd.now()
+	if nd.version() < effect.Version {
+		ended.Err = fault.From(nd.pullFrom(effect))
 	}
+	ended.After = nd.now().Sub(began)
+	nd.loop.post(ended)
+}
+
+func (nd *Node) pullFrom(effect fleet.PullConfig) error {
 	ctx, cancel := context.WithTimeout(nd.runCtx, pullTimeout)
 	defer cancel()
 	nd.metrics.count(trace.ConfigPulls)
 	bundle, err := nd.peers.Pull(ctx, effect.Address, nd.bundle())
-	if err == nil {
-		nd.offerFromPeer(bundle, effect.Version, effect.Peer)
+	if err != nil {
+		nd.metrics.count(trace.ConfigPullsFailed)
+		return err
 	}
+	nd.offerFromPeer(bundle, effect.Version, effect.Peer)
+	return nil
 }
 
 // waiters holds one reply channel for each message of a peer that the state machine has
--- a/node/handler.go
+++ b/node/handler.go
@@ -14,6 +14,7 @@
 	"sequoiamill.example/sequoiamill/api/opsv1/opsv1connect"
 	"sequoiamill.example/sequoiamill/blame"
 	"sequoiamill.example/sequoiamill/codec"
+	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/core"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/flow"
@@ -92,7 +93,7 @@
 			nd.recordEvent(trace.Event{Kind: trace.PlatformFailed, Detail: "read: " + fault.From(err).Error()})
 			return
 		}
-		nd.offerRoot(ctx, object)
+		nd.offerRoot(ctx, object, conf.ReadAfterWrite)
 	}()
 }
 
--- a/node/platform.go
+++ b/node/platform.go
@@ -91,7 +91,7 @@
 				lost = false
 				nd.recordEvent(trace.Event{Kind: trace.PlatformRecovered, Subject: nd.settings.Instance})
 			}
-			if nd.offerRoot(ctx, object) {
+			if nd.offerRoot(ctx, object, conf.ReadByWatch) {
 				pause.reset()
 				sleep(ctx, nd.watchPause())
 				return
@@ -133,20 +133,20 @@
 	object, err := nd.getRoot(nd.runCtx)
 	nd.loop.post(core.RootPolled{Err: fault.From(err)})
 	if err == nil {
-		nd.offerRoot(nd.runCtx, object)
+		nd.offerRoot(nd.runCtx, object, conf.ReadByPoll)
 	}
 }
 
 // offerRoot fetches the configuration that a root object describes and offers
 // it to the state machine. It returns false if the platform was unavailable; the
 // root object must then be read again.
-func (nd *Node) offerRoot(ctx context.Context, object plat.Object) bool {
+func (nd *Node) offerRoot(ctx context.Context, object plat.Object, reading conf.Reading) bool {
 	if object.Revision == "" {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	offer := conf.VersionOffered{Digest: codec.HashOf(object.Body), FromPlatform: true}
+	offer := conf.VersionOffered{Digest: codec.HashOf(object.Body), FromPlatform: true, Reading: reading}
 	version, err := nd.source.Version(object.Body)
 	offer.Version = version
 	if err == nil && version > nd.version() {
@@ -207,7 +207,7 @@
 		sleep(ctx, jitter(nd.settings.FetchDelay))
 	}
 	if nd.version() < version || version == 0 {
-		nd.offerRoot(ctx, object)
+		nd.offerRoot(ctx, object, conf.ReadAtJoin)
 	}
 }
 
--- a/trace/count.go
+++ b/trace/count.go
@@ -22,6 +22,7 @@
 	ExchangesSent
 	ExchangesFailed
 	ConfigPulls
+	ConfigPullsFailed
 	ExchangesServed
 	PullsServed
 	PullsRefused
@@ -56,6 +57,7 @@
 	ExchangesSent:       "exchanges_sent",
 	ExchangesFailed:     "exchanges_failed",
 	ConfigPulls:         "config_pulls",
+	ConfigPullsFailed:   "config_pulls_failed",
 	ExchangesServed:     "exchanges_served",
 	PullsServed:         "pulls_served",
 	PullsRefused:        "pulls_refused",
--- a/trace/event.go
+++ b/trace/event.go
@@ -57,6 +57,10 @@
 	RequestReleased
 	TeamLimited
 	RolloutChanged
+	ConfigLearned
+	ConfigPullStarted
+	ConfigPullEnded
+	PollingChanged
 	kindCount
 )
 
@@ -97,6 +101,10 @@
 	RequestReleased:     "request-released",
 	TeamLimited:         "team-limited",
 	RolloutChanged:      "rollout-changed",
+	ConfigLearned:       "config-learned",
+	ConfigPullStarted:   "config-pull-started",
+	ConfigPullEnded:     "config-pull-ended",
+	PollingChanged:      "polling-changed",
 }
 
 // String returns the kebab-case name of the kind, which the timeline shows.
