Show that versions are late on undisturbed nodes while others are down

The store's cached data is late all the while, which it may be at any time. The effect that starts a watch says that it is a cached one; nothing else changes.

--- a/core/event.go
+++ b/core/event.go
@@ -112,7 +112,11 @@
 
 // WatchPlatform is the effect to start or stop watching the platform's
 // configuration root.
-type WatchPlatform struct{ On bool }
+type WatchPlatform struct {
+	On bool
+	// Cached is true if the platform may report changes late, which costs it less.
+	Cached bool
+}
 
 // Effect implements types.Effect.
 func (WatchPlatform) Effect() {}
--- a/core/state.go
+++ b/core/state.go
@@ -340,7 +340,7 @@
 		detail = "began"
 	}
 	return []types.Effect{
-		WatchPlatform{On: delegate},
+		WatchPlatform{On: delegate, Cached: st.policies.Spread == SpreadWatch},
 		trace.Event{Kind: trace.DelegateChanged, Subject: st.fleet.Self().ID, Detail: detail},
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -217,3 +217,27 @@
 	}
 	check.True(pulledAt > 0 && pulledAt <= delay+delay/5)
 }
+
+// TestSilentPeerDoesNotHoldUpVersion guards against a node that waits for one peer while
+// others hold the version.
+func TestSilentPeerDoesNotHoldUpVersion(t *testing.T) {
+	check := is.New(t)
+	const applyTime = 2 * time.Second
+	for seed := range uint64(20) {
+		table := fleet.NewTable(fleet.Member{ID: "self", StartedAt: epoch}, rand.New(rand.NewPCG(seed, 1)), fleet.WithPullDelay(250*time.Millisecond))
+		for _, id := range []types.InstanceID{"b", "c", "d"} {
+			peer := fleet.Member{ID: id, Address: types.Address(id + ":1"), Status: fleet.Alive, StartedAt: epoch, Incarnation: 1}
+			message := fleet.Message{From: id, Incarnation: 1, Version: 9, Members: []fleet.Member{peer}}
+			table.HandleExchangeReceived(fleet.ExchangeReceived{Message: message}, epoch)
+		}
+		var asked types.Set[types.InstanceID]
+		for since := time.Duration(0); since < applyTime; since += tick {
+			for _, effect := range table.Tick(epoch.Add(since)) {
+				if pull, ok := effect.(fleet.PullConfig); ok {
+					asked = asked.With(pull.Peer)
+				}
+			}
+		}
+		check.Equal(asked.Sorted(), []types.InstanceID{"b", "c", "d"})
+	}
+}
