Ask another peer when one does not send a version

Callers saw 404 on added routes and runs by the old service at one node, up to 5 s after a version was acknowledged, while a peer of that node was paused. Cause: a node had one pull in flight and asked no other peer until it ended, at its deadline of 5 s. A peer that is paused, cut off or without power lets it wait so long, and is not yet known to be down when it is asked. Class of fault: one call in flight to one peer, with a deadline above the bound that the call serves. Change: after 400 ms the next peer is asked as well, up to four at a time; the pulls that are left are canceled once a version is in force. Evidence: TestSilentPeerDoesNotHoldUpVersion asked one peer of three in 2 s and now asks all. Ruled out: a shorter deadline alone; a large version over a thin link takes its time.

--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -18,27 +18,43 @@
 	maxWatchPause       = 1200 * time.Millisecond
 	// maxPullJitter bounds the random delay before the next source is asked.
 	maxPullJitter = 50 * time.Millisecond
+	// pullPatience is how long a pull may take before another peer is asked as well.
+	pullPatience = 400 * time.Millisecond
+	// maxPulls bounds the number of pulls in flight.
+	maxPulls = 4
 )
 
 // wantedVersion tracks the newest configuration version that this node knows of
 // but does not have, and the attempts to pull it. Its sources are the peers that
 // reported the version.
 type wantedVersion struct {
-	version  types.Version
-	sources  []types.InstanceID
-	pulling  bool
+	version types.Version
+	sources []types.InstanceID
+	// pulls are the pulls in flight, the latest last. They may be of earlier versions.
+	pulls    []pull
 	failures int
 	nextPull time.Time
 }
 
+type pull struct {
+	peer types.InstanceID
+	// until is when another peer is asked as well.
+	until time.Time
+}
+
 // clearUpTo clears the wanted version if it is the given version or an older
 // one.
 func (wv *wantedVersion) clearUpTo(version types.Version) {
 	if version >= wv.version {
-		*wv = wantedVersion{pulling: wv.pulling}
+		*wv = wantedVersion{pulls: wv.pulls}
 	}
 }
 
+// pullsFrom reports whether a pull from a peer is in flight.
+func (wv *wantedVersion) pullsFrom(peer types.InstanceID) bool {
+	return slices.ContainsFunc(wv.pulls, func(pl pull) bool { return pl.peer == peer })
+}
+
 func (wv *wantedVersion) addSource(source types.InstanceID) {
 	if len(wv.sources) < maxSources && !slices.Contains(wv.sources, source) {
 		wv.sources = append(wv.sources, source)
@@ -53,7 +69,7 @@
 	}
 	var effects []types.Effect
 	if version > tb.wanted.version {
-		tb.wanted = wantedVersion{version: version, pulling: tb.wanted.pulling, nextPull: tb.nextPull(now)}
+		tb.wanted = wantedVersion{version: version, pulls: tb.wanted.pulls, nextPull: tb.nextPull(now)}
 		effects = append(effects, VersionLearned{Peer: source, Version: version})
 	}
 	tb.wanted.addSource(source)
@@ -81,7 +97,10 @@
 func (tb *Table) nextPull(now time.Time) time.Time {
 	due := now.Add(tb.pullWait())
 	if tb.wanted.version > tb.version && tb.wanted.nextPull.Before(due) {
-		return tb.wanted.nextPull
+		due = tb.wanted.nextPull
+	}
+	if count := len(tb.wanted.pulls); count > 0 && due.Before(tb.wanted.pulls[count-1].until) {
+		due = tb.wanted.pulls[count-1].until
 	}
 	return due
 }
@@ -91,39 +110,47 @@
 // that does.
 func (tb *Table) WantVersion(version types.Version) {
 	if version > tb.version && version > tb.wanted.version {
-		tb.wanted = wantedVersion{version: version, pulling: tb.wanted.pulling}
+		tb.wanted = wantedVersion{version: version, pulls: tb.wanted.pulls}
 	}
 }
 
-// tryPull starts a pull if one is due.
+// tryPull starts a pull if one is due. Another peer is asked while earlier pulls take
+// longer than pullPatience, as a peer may be alive and yet not answer.
 func (tb *Table) tryPull(now time.Time) []types.Effect {
-	if tb.wanted.version <= tb.version || tb.wanted.pulling || now.Before(tb.wanted.nextPull) {
+	if tb.wanted.version <= tb.version || len(tb.wanted.pulls) >= maxPulls || now.Before(tb.wanted.nextPull) {
 		return nil
 	}
 	rc, ok := tb.pickSource()
 	if !ok {
-		tb.backOffPull(now)
+		if len(tb.wanted.pulls) == 0 {
+			tb.backOffPull(now)
+		}
 		return nil
 	}
-	tb.wanted.pulling = true
+	tb.wanted.nextPull = now.Add(pullPatience)
+	tb.wanted.pulls = append(tb.wanted.pulls, pull{peer: rc.member.ID, until: tb.wanted.nextPull})
 	return []types.Effect{PullConfig{Peer: rc.member.ID, Address: rc.member.Address, Version: tb.wanted.version}}
 }
 
-// pickSource returns a random peer to pull the wanted version from: a peer that
-// reported the version, or else any live member whose HeldVersion is at least
-// the wanted version.
+// pickSource returns a random peer to pull the wanted version from, from which no pull is
+// in flight: a peer that reported the version, or else any live member whose HeldVersion
+// is at least the wanted version.
 func (tb *Table) pickSource() (*record, bool) {
-	for len(tb.wanted.sources) > 0 {
-		i := tb.rand.IntN(len(tb.wanted.sources))
-		rc, ok := tb.records[tb.wanted.sources[i]]
-		if ok && !rc.member.Gone() {
-			return rc, true
+	tb.wanted.sources = slices.DeleteFunc(tb.wanted.sources, func(id types.InstanceID) bool {
+		rc, ok := tb.records[id]
+		return !ok || rc.member.Gone()
+	})
+	var reporters, holders []*record
+	for _, id := range tb.wanted.sources {
+		if !tb.wanted.pullsFrom(id) {
+			reporters = append(reporters, tb.records[id])
 		}
-		tb.wanted.sources = slices.Delete(tb.wanted.sources, i, i+1)
 	}
-	var holders []*record
+	if len(reporters) > 0 {
+		return reporters[tb.rand.IntN(len(reporters))], true
+	}
 	for _, rc := range tb.liveSet.items {
-		if rc.member.HeldVersion >= tb.wanted.version {
+		if rc.member.HeldVersion >= tb.wanted.version && !tb.wanted.pullsFrom(rc.member.ID) {
 			holders = append(holders, rc)
 		}
 	}
@@ -138,7 +165,7 @@
 // backoff. If a newer version has become the wanted one during the pull, it
 // tries to pull the newer version immediately.
 func (tb *Table) HandlePullEnded(event PullEnded, now time.Time) []types.Effect {
-	tb.wanted.pulling = false
+	tb.wanted.pulls = slices.DeleteFunc(tb.wanted.pulls, func(pl pull) bool { return pl.peer == event.Peer })
 	if tb.wanted.version <= tb.version {
 		return nil
 	}
--- a/node/effect.go
+++ b/node/effect.go
@@ -21,11 +21,6 @@
 	// node asks a third node to probe a peer. It covers the round trip to the
 	// third node and the exchange between the third node and the peer.
 	indirectProbeTimeout = 2 * exchangeTimeout
-	// pullTimeout is the deadline of fetching a configuration from a peer.
-	pullTimeout = 5 * time.Second
-	// maxPulls is the maximum number of peers that fetch the configuration from
-	// this node at the same time.
-	maxPulls = 4
 	// maxLogFields is the maximum number of keys and values in the log line of
 	// an event.
 	maxLogFields = 10
@@ -55,6 +50,7 @@
 	case fleet.Superseded:
 		nd.supersede()
 	case conf.VersionAdopted:
+		nd.pulls.cancelUpTo(ef.Snapshot.Version())
 		table := route.NewTable(ef.Snapshot)
 		nd.routes.Store(&table)
 		nd.entry.SetTeams(ef.Snapshot.HasTeams())
@@ -143,31 +139,6 @@
 	nd.loop.post(fleet.IndirectProbeEnded{Peer: effect.Peer, Via: effect.Via, Reached: err == nil && reached})
 }
 
-// pullConfig fetches a configuration from a peer, unless the version in force is
-// at or above the version that the peer reported.
-func (nd *Node) pullConfig(effect fleet.PullConfig) {
-	ended := fleet.PullEnded{Peer: effect.Peer, Version: effect.Version}
-	began := nd.now()
-	if nd.version() < effect.Version {
-		ended.Err = fault.From(nd.pullFrom(effect))
-	}
-	ended.After = nd.now().Sub(began)
-	nd.loop.post(ended)
-}
-
-func (nd *Node) pullFrom(effect fleet.PullConfig) error {
-	ctx, cancel := context.WithTimeout(nd.runCtx, pullTimeout)
-	defer cancel()
-	nd.metrics.count(trace.ConfigPulls)
-	bundle, err := nd.peers.Pull(ctx, effect.Address, nd.bundle())
-	if err != nil {
-		nd.metrics.count(trace.ConfigPullsFailed)
-		return err
-	}
-	nd.offerFromPeer(bundle, effect.Version, effect.Peer)
-	return nil
-}
-
 // waiters holds one reply channel for each message of a peer that the state machine has
 // not answered yet. Each message has a token, which is the key of its channel in pending.
 type waiters[T any] struct {
@@ -220,24 +191,3 @@
 	answer, err := nd.peers.Exchange(ctx, address, fleet.Message{From: nd.settings.Instance})
 	return err == nil && answer.From == id
 }
-
-// version returns the version of the configuration in force.
-func (nd *Node) version() types.Version {
-	var version types.Version
-	nd.loop.read(func(state *core.State) { version = state.Config().Current().Version() })
-	return version
-}
-
-// servePull returns the configuration in force to a peer, or an error if
-// maxPulls peers are already being served.
-func (nd *Node) servePull() (conf.Bundle, error) {
-	select {
-	case nd.pullSlots <- struct{}{}:
-		defer func() { <-nd.pullSlots }()
-	default:
-		nd.metrics.count(trace.PullsRefused)
-		return conf.Bundle{}, fault.New(fault.Overloaded, "%d pulls are being served", maxPulls).WithRetryAfter(pullTimeout)
-	}
-	nd.metrics.count(trace.PullsServed)
-	return nd.bundle(), nil
-}
--- a/node/node.go
+++ b/node/node.go
@@ -83,6 +83,7 @@
 	closeOnce sync.Once
 	runCtx    context.Context
 	watch     watcher
+	pulls     pulls
 	// pullSlots is a semaphore that holds one element for each configuration
 	// pull being served.
 	pullSlots       chan struct{}
