Let two nodes of each zone, and nodes that start, watch without delay

Callers at undisturbed nodes saw 404 on added routes and runs by the old service for seconds after a version was acknowledged, when the nodes that read the store for their zones had been killed, paused or started again. Cause: while the store's cached data is late, as it may be at any time, a version came only through the reads of one node of each zone. Its peers hold it to be that node until they find it dead, after some seconds, and one that starts again waits 2 s until it reads. Change: the watches of two nodes of each zone ask for current data, and so does that of a node that has just started, which may take the place of one of them. The reads of the delegates stay, for watches that are silent. Ruled out: reads by every node at random times (either a gap of over 1 s in one case of ten, or three times the reads); the age of the latest read in messages, which is as old as the bound when it arrives.

--- a/core/state.go
+++ b/core/state.go
@@ -40,8 +40,8 @@
 	// rootVersion is the version of the platform's configuration root when it was
 	// last read.
 	rootVersion types.Version
-	// watching is true while the node watches the platform's root.
-	watching bool
+	// watch is how the node watches the platform's root.
+	watch    WatchPlatform
 	stop     stopProgress
 	lost     lostRuns
 	blame    *blame.Ledger
@@ -258,7 +258,7 @@
 	effects = append(effects, st.refreshUpstream(now)...)
 	effects = append(effects, st.tickRollouts(now)...)
 	effects = append(effects, st.keys.ledger.Sweep(now)...)
-	effects = append(effects, st.electDelegate()...)
+	effects = append(effects, st.electWatch()...)
 	effects = append(effects, st.tickLimits(now)...)
 	return append(effects, st.pollRoot(now)...)
 }
@@ -323,24 +323,3 @@
 	st.config.RaiseFloor(st.fleet.Self().HeldVersion)
 	return append(effects, st.timelineEvents(effects, now)...)
 }
-
-// electDelegate starts or stops watching the platform when the node becomes a
-// delegate of its zone or ceases to be one. Delegates are the few nodes of a zone
-// that watch the platform and pass configurations on to their peers. With
-// SpreadWatch, the node watches the platform until a stop is requested, whether or
-// not it is a delegate.
-func (st *State) electDelegate() []types.Effect {
-	delegate := st.fleet.Joined() && st.fleet.IsDelegate() || st.policies.Spread == SpreadWatch && !st.stop.requested
-	if delegate == st.watching {
-		return nil
-	}
-	st.watching = delegate
-	detail := "ended"
-	if delegate {
-		detail = "began"
-	}
-	return []types.Effect{
-		WatchPlatform{On: delegate, Cached: st.policies.Spread == SpreadWatch},
-		trace.Event{Kind: trace.DelegateChanged, Subject: st.fleet.Self().ID, Detail: detail},
-	}
-}
--- a/core/stop.go
+++ b/core/stop.go
@@ -65,7 +65,7 @@
 	}
 	st.stop.closed = true
 	st.fleet.AnnounceLeaving()
-	return append(st.fleet.Push(), st.electDelegate()...)
+	return append(st.fleet.Push(), st.electWatch()...)
 }
 
 // superseded starts a graceful stop of a node whose upstream belongs to a later process.
--- a/fleet/delegate.go
+++ b/fleet/delegate.go
@@ -28,14 +28,22 @@
 // object API for new configurations on behalf of its zone. The delegates are the
 // nodes with the highest rendezvous ranks among the zone's alive nodes that are
 // neither leaving nor detached from the platform.
-func (tb *Table) IsDelegate() bool {
-	if tb.delegateStale {
-		tb.delegate = tb.computeDelegate()
-		tb.delegateStale = false
+func (tb *Table) IsDelegate() bool { return tb.settled && tb.RanksWithin(tb.delegatesPerZone) }
+
+// RanksWithin reports whether this node may be a delegate and is among the given number of
+// nodes with the highest rendezvous ranks in its zone. Unlike IsDelegate, it does not wait
+// until the view has settled.
+func (tb *Table) RanksWithin(count int) bool {
+	if tb.higherStale {
+		tb.higher = tb.countHigher()
+		tb.higherStale = false
 	}
-	return tb.delegate
+	return tb.self.eligible() && tb.higher < count
 }
 
+// Settled reports whether the view has stopped growing quickly since this node joined.
+func (tb *Table) Settled() bool { return tb.settled }
+
 // updateSettled updates whether the view has stopped growing quickly. A node
 // whose view has not settled is not a delegate: right after a start a node
 // knows few peers, so all nodes that started at the same time would elect
@@ -45,16 +53,11 @@
 	if !tb.joining.done || size > tb.timing.sizeAtGrowth+tb.timing.sizeAtGrowth/growthDivisor {
 		tb.timing.sizeAtGrowth, tb.timing.lastGrowth = size, now
 	}
-	settled := now.Sub(tb.timing.lastGrowth) >= settleDelay
-	if settled != tb.settled {
-		tb.settled, tb.delegateStale = settled, true
-	}
+	tb.settled = now.Sub(tb.timing.lastGrowth) >= settleDelay
 }
 
-func (tb *Table) computeDelegate() bool {
-	if !tb.settled || !tb.self.eligible() {
-		return false
-	}
+// countHigher returns the number of eligible nodes of this node's zone with a higher rank.
+func (tb *Table) countHigher() int {
 	higher := 0
 	own := rank(tb.self.ID, tb.self.Zone)
 	for _, rc := range tb.liveSet.items {
@@ -62,7 +65,7 @@
 			higher++
 		}
 	}
-	return higher < tb.delegatesPerZone
+	return higher
 }
 
 // eligible reports whether the member may be a delegate of its zone.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -75,10 +75,10 @@
 	pendingPushes    int
 	pushTokens       int
 	delegatesPerZone int
-	// delegate caches whether this node is a delegate. It must be recomputed if
-	// delegateStale is true.
-	delegate      bool
-	delegateStale bool
+	// higher caches the number of eligible nodes of this node's zone with a higher rank.
+	// It must be recomputed if higherStale is true.
+	higher      int
+	higherStale bool
 	// settled is true if the view has stopped growing quickly.
 	settled bool
 }
@@ -126,7 +126,7 @@
 		services:         map[types.ServiceName][]Member{},
 		rand:             source,
 		pushTokens:       maxPushTokens,
-		delegateStale:    true,
+		higherStale:      true,
 		delegatesPerZone: defaultDelegates,
 	}
 	for _, opt := range opts {
@@ -227,7 +227,7 @@
 	hash := hashOf(self)
 	tb.bucketHashes[bucket] = tb.bucketHashes[bucket].xor(tb.selfHash).xor(hash)
 	tb.self, tb.selfHash = self, hash
-	tb.delegateStale = true
+	tb.higherStale = true
 	tb.invalidateServices(old, self)
 }
 
@@ -269,7 +269,7 @@
 	tb.moveToSet(rc, old)
 	tb.recordFormer(old, member, now)
 	tb.invalidateServices(old, member)
-	tb.delegateStale = true
+	tb.higherStale = true
 	withdrawn := known && member.withdraws(old)
 	if !tb.suppressGossip {
 		tb.queue.enqueue(rc, true, withdrawn)
--- a/node/effect.go
+++ b/node/effect.go
@@ -75,7 +75,7 @@
 	case core.RecordDeparture:
 		go nd.writeDeparture(nd.runCtx, nd.departures.begin())
 	case core.WatchPlatform:
-		nd.watch.setWatching(nd, ef.On)
+		nd.watch.setWatching(nd, ef)
 	default:
 		return false
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -76,6 +76,10 @@
 			mt.count(trace.PlatformWrites)
 			return st.Delete(ctx, object)
 		},
+		WatchCached: func(ctx context.Context, name plat.Name, seen func(plat.Object)) error {
+			mt.count(trace.PlatformWatches)
+			return st.WatchCached(ctx, name, seen)
+		},
 		Watch: func(ctx context.Context, name plat.Name, seen func(plat.Object)) error {
 			mt.count(trace.PlatformReads)
 			mt.count(trace.PlatformWatches)
--- a/node/platform.go
+++ b/node/platform.go
@@ -62,31 +62,34 @@
 	return wr.cancel != nil
 }
 
-// setWatching ends the current watch, if any, and starts a new one if on is
-// true.
-func (wr *watcher) setWatching(nd *Node, on bool) {
+// setWatching ends the current watch, if any, and starts a new one if wanted says so.
+func (wr *watcher) setWatching(nd *Node, wanted core.WatchPlatform) {
 	wr.mu.Lock()
 	defer wr.mu.Unlock()
 	if wr.cancel != nil {
 		wr.cancel()
 		wr.cancel = nil
 	}
-	if !on {
+	if !wanted.On {
 		return
 	}
+	watch := nd.store.Watch
+	if wanted.Cached {
+		watch = nd.store.WatchCached
+	}
 	ctx, cancel := context.WithCancel(nd.runCtx)
 	wr.cancel = cancel
-	go nd.watchRoot(ctx)
+	go nd.watchRoot(ctx, watch)
 }
 
 // watchRoot watches the configuration's root object until ctx ends. It records
 // an event when the platform stops answering and when the platform answers again.
-func (nd *Node) watchRoot(ctx context.Context) {
+func (nd *Node) watchRoot(ctx context.Context, watch func(context.Context, plat.Name, func(plat.Object)) error) {
 	pause := newBackoff()
 	lost := false
 	for ctx.Err() == nil {
-		watch, cancel := context.WithCancel(ctx)
-		err := nd.store.Watch(watch, nd.source.Name, func(object plat.Object) {
+		attempt, cancel := context.WithCancel(ctx)
+		err := watch(attempt, nd.source.Name, func(object plat.Object) {
 			if lost {
 				lost = false
 				nd.recordEvent(trace.Event{Kind: trace.PlatformRecovered, Subject: nd.settings.Instance})
--- a/plat/http.go
+++ b/plat/http.go
@@ -122,7 +122,7 @@
 	for _, opt := range opts {
 		opt(cl)
 	}
-	return &Store{Get: cl.get, GetCached: cl.getCached, List: cl.list, ListCached: cl.listCached, Put: cl.put, Delete: cl.delete, Watch: cl.watch, Era: cl.api.Era}
+	return &Store{Get: cl.get, GetCached: cl.getCached, List: cl.list, ListCached: cl.listCached, Put: cl.put, Delete: cl.delete, Watch: cl.watch, WatchCached: cl.watch, Era: cl.api.Era}
 }
 
 func (cl *client) path(kind Kind, name string) string {
--- a/plat/memory.go
+++ b/plat/memory.go
@@ -34,7 +34,7 @@
 
 // Store returns the operations of m as a Store.
 func (m *Memory) Store() *Store {
-	return &Store{Get: m.Get, GetCached: m.Get, List: m.List, ListCached: m.List, Put: m.Put, Delete: m.Delete, Watch: m.Watch, Era: func() Era { return 0 }}
+	return &Store{Get: m.Get, GetCached: m.Get, List: m.List, ListCached: m.List, Put: m.Put, Delete: m.Delete, Watch: m.Watch, WatchCached: m.Watch, Era: func() Era { return 0 }}
 }
 
 // Get reads one object.
--- a/plat/store.go
+++ b/plat/store.go
@@ -87,6 +87,9 @@
 	// context ends or the platform can't be reached. If the platform sends
 	// nothing for some time, Watch opens a new connection and continues.
 	Watch func(ctx context.Context, name Name, onChange func(Object)) error
+	// WatchCached is like Watch, but lets the platform report changes seconds late, which
+	// costs it less.
+	WatchCached func(ctx context.Context, name Name, onChange func(Object)) error
 	// Era returns the platform's era, as far as its replies have stated it.
 	Era func() Era
 }
