Learn of a version from what others report of its holders

A node that no holder of a version happened to ask or answer heard nothing of it for up to 3 s, though others had told it which members hold it. Cause: reports and records name the version that each member holds, but only the version of a message's sender led to a pull. Change: a reported version is wanted too. Those who hold it do not become sources by that; the pull asks a random one of all that are known to hold it, so that the first holders do not serve all. Evidence: TestReportedVersionIsPulled asked nobody before.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -241,3 +241,33 @@
 		check.Equal(asked.Sorted(), []types.InstanceID{"b", "c", "d"})
 	}
 }
+
+// TestReportedVersionIsPulled guards against a node that hears only from others which
+// member holds a version, and waits until that member sends it a message.
+func TestReportedVersionIsPulled(t *testing.T) {
+	peer := func(id types.InstanceID, held types.Version) fleet.Member {
+		return fleet.Member{ID: id, Address: types.Address(id + ":1"), Status: fleet.Alive, StartedAt: epoch, Incarnation: 1, HeldVersion: held}
+	}
+	for name, news := range map[string]fleet.Message{
+		"report": {Members: []fleet.Member{peer("b", 1)}, Reports: []fleet.VersionReport{{ID: "c", HeldVersion: 9}}},
+		"record": {Members: []fleet.Member{peer("b", 1), peer("c", 9)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			table := fleet.NewTable(fleet.Member{ID: "self", StartedAt: epoch}, rand.New(rand.NewPCG(1, 1)), fleet.WithPullDelay(250*time.Millisecond))
+			known := fleet.Message{From: "b", Incarnation: 1, Members: []fleet.Member{peer("b", 1), peer("c", 1)}}
+			table.HandleExchangeReceived(fleet.ExchangeReceived{Message: known}, epoch)
+			news.From, news.Incarnation = "b", 1
+			table.HandleExchangeReceived(fleet.ExchangeReceived{Message: news}, epoch)
+			var asked []types.InstanceID
+			for since := time.Duration(0); since < time.Second && len(asked) == 0; since += tick {
+				for _, effect := range table.Tick(epoch.Add(since)) {
+					if pull, ok := effect.(fleet.PullConfig); ok && pull.Version == 9 {
+						asked = append(asked, pull.Peer)
+					}
+				}
+			}
+			check.Equal(asked, []types.InstanceID{"c"})
+		})
+	}
+}
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -154,6 +154,23 @@
 		tb.raiseHeld(rc, message.Version)
 		effects = append(effects, tb.noteVersion(message.Version, rc.member.ID, now)...)
 	}
+	return append(effects, tb.learnHeld(message, now)...)
+}
+
+// learnHeld learns of the versions that the members in a message are said to hold.
+func (tb *Table) learnHeld(message Message, now time.Time) []types.Effect {
+	var effects []types.Effect
+	learn := func(id types.InstanceID) {
+		if rc, ok := tb.records[id]; ok && !rc.member.Gone() {
+			effects = append(effects, tb.learnVersion(rc.member.HeldVersion, id, now)...)
+		}
+	}
+	for _, member := range message.Members {
+		learn(member.ID)
+	}
+	for _, report := range message.Reports {
+		learn(report.ID)
+	}
 	return effects
 }
 
--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -67,15 +67,22 @@
 	if version <= tb.version || version < tb.wanted.version {
 		return nil
 	}
-	var effects []types.Effect
-	if version > tb.wanted.version {
-		tb.wanted = wantedVersion{version: version, pulls: tb.wanted.pulls, nextPull: tb.nextPull(now)}
-		effects = append(effects, VersionLearned{Peer: source, Version: version})
-	}
+	effects := tb.learnVersion(version, source, now)
 	tb.wanted.addSource(source)
 	return append(effects, tb.tryPull(now)...)
 }
 
+// learnVersion records that a member has a version which this node lacks. The member does
+// not become a source: where all heard of the same few holders, these would have to serve
+// all.
+func (tb *Table) learnVersion(version types.Version, holder types.InstanceID, now time.Time) []types.Effect {
+	if version <= tb.version || version <= tb.wanted.version {
+		return nil
+	}
+	tb.wanted = wantedVersion{version: version, pulls: tb.wanted.pulls, nextPull: tb.nextPull(now)}
+	return []types.Effect{VersionLearned{Peer: holder, Version: version}}
+}
+
 // WatchPause returns how long a node waits after an event of its watch on the platform
 // before it watches on. It grows with the number of members, so that a series of
 // changes does not cost the platform one call for each change and node.
