Refuse no version for a row that the platform accepts

Cause: a configuration that the platform has accepted was checked by the forms that this product asks of its own operators. Class of fault: a check that is stricter than that of the one who has accepted the data, where a refusal stops all progress. Operators' own files are checked as before. Ruled out: taking over a version without its odd rows; no version is applied in part.

--- a/conf/snapshot.go
+++ b/conf/snapshot.go
@@ -39,6 +39,20 @@
 	if err := Validate(config); err != nil {
 		return Snapshot{}, err
 	}
+	return newSnapshot(root, digest, config, bundle), nil
+}
+
+// NewAcceptedSnapshot is like NewSnapshot for a configuration that the platform has
+// accepted. It does not check the form of names, hosts and paths: a refusal would keep this
+// version and all later ones out.
+func NewAcceptedSnapshot(root Root, digest types.Hash, config Config, bundle Bundle) (Snapshot, error) {
+	if err := check(config, true); err != nil {
+		return Snapshot{}, err
+	}
+	return newSnapshot(root, digest, config, bundle), nil
+}
+
+func newSnapshot(root Root, digest types.Hash, config Config, bundle Bundle) Snapshot {
 	snap := Snapshot{
 		root:     root,
 		digest:   digest,
@@ -55,7 +69,7 @@
 		snap.rules[rule.Service] = append(snap.rules[rule.Service], rule)
 	}
 	snap.indexTeams()
-	return snap, nil
+	return snap
 }
 
 // Version returns the version, which is 0 for the empty snapshot.
--- a/conf/valid.go
+++ b/conf/valid.go
@@ -27,8 +27,12 @@
 
 // Validate checks a configuration. It returns one error that lists everything that
 // is invalid.
-func Validate(config Config) error {
-	c := &checker{seen: map[Key]bool{}, services: map[types.ServiceName]bool{}, routesByMatch: map[matchKey][]Route{}}
+func Validate(config Config) error { return check(config, false) }
+
+// check validates a configuration. If it was accepted by the platform, the names in it need
+// not have the form that this product asks of its operators.
+func check(config Config, accepted bool) error {
+	c := &checker{accepted: accepted, seen: map[Key]bool{}, services: map[types.ServiceName]bool{}, routesByMatch: map[matchKey][]Route{}}
 	for _, service := range config.Services {
 		c.checkService(service)
 	}
@@ -47,6 +51,8 @@
 
 // checker collects the validation errors of one configuration.
 type checker struct {
+	// accepted is true if the platform has accepted the configuration.
+	accepted bool
 	faults   []string
 	seen     map[Key]bool
 	services map[types.ServiceName]bool
@@ -66,7 +72,7 @@
 }
 
 func (c *checker) checkName(key Key) {
-	if !isLabel(key.Name, maxName, "-") {
+	if key.Name == "" || !c.accepted && !isLabel(key.Name, maxName, "-") {
 		c.addFault(key, "name is not kebab case of at most 63 characters")
 	}
 	if c.seen[key] {
@@ -148,12 +154,13 @@
 }
 
 func (c *checker) checkMatch(key Key, match Match) {
-	if match.Host != "" && !isHost(match.Host) {
+	if match.Host != "" && !c.accepted && !isHost(match.Host) {
 		c.addFault(key, "host "+strconv.Quote(match.Host)+" is not a lower-case host name or an IP address")
 	}
 	switch prefix := match.PathPrefix; {
 	case prefix != "" && !strings.HasPrefix(prefix, "/"):
 		c.addFault(key, "path-prefix must start with a slash")
+	case c.accepted:
 	case prefix != "" && !isPath(prefix), strings.ContainsAny(prefix, "?#"), len(prefix) > maxPathPrefix:
 		c.addFault(key, "path-prefix must be a path of printable characters, at most "+strconv.Itoa(maxPathPrefix))
 	}
