Play late versions beside the stand-ins of the review, not within them

Cause: the play had changed files of the stand-ins that the incident's rig patches, and its file had the name of one of the rig's, so that the rig no longer built. Change: the play has files of its own and adds itself to the cases; late cached data is made by a handler around the store. The stand-ins are as they were.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,8 +17,6 @@
 	// rollout is no case of the review: the report has its result.
 	"rollout": rolloutCase,
 	"hold":    holdCase,
-	// versions is the play of an incident: docs/incidents/2026-12-05-config-processes.md.
-	"versions": versionsCase,
 }
 
 func main() {
--- a/review/standin/versions.go
+++ b/review/standin/spread.go
@@ -35,6 +35,10 @@
 	"herd":    {before: (*versionPlay).killMost},
 }
 
+// spread is no case of the review: docs/incidents/2026-12-05-config-processes.md has its
+// results.
+func init() { cases["spread"] = spreadCase }
+
 // versionPlay writes versions while nodes are disturbed. What the store lets be stale is
 // four seconds old.
 type versionPlay struct {
@@ -48,8 +52,8 @@
 	judged int
 }
 
-// versionsCase plays one disturbance, which DISTURB names, with the seed SEED.
-func versionsCase(rc *recorder, trouble bool) ([]string, error) {
+// spreadCase plays one disturbance, which DISTURB names, with the seed SEED.
+func spreadCase(rc *recorder, trouble bool) ([]string, error) {
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	disturb, ok := disturbances[os.Getenv("DISTURB")]
 	if !ok {
@@ -67,9 +71,8 @@
 	if err != nil {
 		return nil, err
 	}
-	lb.store.mu.Lock()
-	lb.store.behind = 4 * time.Second
-	lb.store.mu.Unlock()
+	letBeStale(lb, 4*time.Second)
+	time.Sleep(staleStep)
 	pl := &versionPlay{lab: lb, rand: rand.New(rand.NewPCG(seed, seed)), calm: map[*machine]time.Time{}}
 	for number := 1; number <= versionCount; number++ {
 		if disturb.before != nil {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -21,13 +21,8 @@
 	changed  chan struct{}
 	address  string
 	server   *http.Server
-	// behind is how old the answers are of calls that allow stale data.
-	behind time.Duration
 }
 
-// staleStep is how often a watch looks for events that have become old enough for it.
-const staleStep = 100 * time.Millisecond
-
 type metadata struct {
 	Name       string
 	Revision   uint64
@@ -43,7 +38,6 @@
 }
 
 type event struct {
-	at       time.Time
 	kind     string
 	revision uint64
 	Deleted  bool
@@ -91,38 +85,7 @@
 	return written
 }
 
-// past returns the events up to the time as of which a call is answered, and their last
-// revision. The caller must hold mu.
-func (st *store) past(request *http.Request) ([]event, uint64) {
-	if st.behind == 0 || request.URL.Query().Get("AllowStale") != "1" {
-		return st.events, st.revision
-	}
-	var asOf uint64
-	until := time.Now().Add(-st.behind)
-	count := sort.Search(len(st.events), func(i int) bool { return st.events[i].at.After(until) })
-	if count > 0 {
-		asOf = st.events[count-1].revision
-	}
-	return st.events[:count], asOf
-}
-
-// found returns the objects of a kind as of an answer. The caller must hold mu.
-func found(events []event, kind string) map[string]object {
-	objects := map[string]object{}
-	for _, ev := range events {
-		switch {
-		case ev.kind != kind:
-		case ev.Deleted:
-			delete(objects, ev.Object.Metadata.Name)
-		default:
-			objects[ev.Object.Metadata.Name] = ev.Object
-		}
-	}
-	return objects
-}
-
 func (st *store) note(ev event) {
-	ev.at = time.Now()
 	st.events = append(st.events, ev)
 	close(st.changed)
 	st.changed = make(chan struct{})
@@ -142,7 +105,7 @@
 	}
 	switch {
 	case request.Method == http.MethodGet && name != "":
-		st.get(writer, request, kind, name)
+		st.get(writer, kind, name)
 	case request.Method == http.MethodGet && request.URL.Query().Has("Watch"):
 		st.watch(writer, request, kind)
 	case request.Method == http.MethodGet:
@@ -164,28 +127,27 @@
 	}
 }
 
-func (st *store) get(writer http.ResponseWriter, request *http.Request, kind, name string) {
+func (st *store) get(writer http.ResponseWriter, kind, name string) {
 	st.mu.Lock()
-	events, _ := st.past(request)
-	object, ok := found(events, kind)[name]
+	found := st.objects[kind][name]
 	st.mu.Unlock()
-	if !ok {
+	if found == nil {
 		answer(writer, http.StatusNotFound, nil)
 		return
 	}
-	answer(writer, http.StatusOK, object)
+	answer(writer, http.StatusOK, found)
 }
 
 func (st *store) list(writer http.ResponseWriter, request *http.Request, kind string) {
 	st.mu.Lock()
 	after := request.URL.Query().Get("after")
 	var items []object
-	past, asOf := st.past(request)
-	for name, object := range found(past, kind) {
+	for name, found := range st.objects[kind] {
 		if name > after {
-			items = append(items, object)
+			items = append(items, *found)
 		}
 	}
+	asOf := st.revision
 	st.mu.Unlock()
 	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
 	more := len(items) > 500
@@ -202,13 +164,12 @@
 	for {
 		st.mu.Lock()
 		var events []event
-		past, asOf := st.past(request)
-		for _, ev := range past {
+		for _, ev := range st.events {
 			if ev.kind == kind && ev.revision > from {
 				events = append(events, ev)
 			}
 		}
-		changed := st.changed
+		asOf, changed := st.revision, st.changed
 		st.mu.Unlock()
 		if len(events) > 0 {
 			answer(writer, http.StatusOK, map[string]any{"events": events, "AsOf": asOf})
@@ -216,7 +177,6 @@
 		}
 		select {
 		case <-changed:
-		case <-time.After(staleStep):
 		case <-end:
 			answer(writer, http.StatusOK, map[string]any{"events": []event{}, "AsOf": asOf})
 			return
