Let an entry that can't be read cost only itself

After all nodes had started again, nodes did not find each other, and callers got 503 for services of other machines for good, beside one odd entry among the records of nodes. Cause: a list, and the events of a watch, were decoded as a whole. One entry that is nested too deeply, or whose metadata has another type or a number too large, made the whole reply unreadable, as if the store did not answer. Class of fault: data of several writers is decoded all or nothing. The same cause elsewhere: an odd record of a node's own name kept it from reading the directory at all, and a page that ends in an odd entry could be read again for ever. Change: replies are split first, which looks only for where each value ends; each object is decoded by itself and says why it can't be read. The directory skips such records and those with a port out of range, and records entry-unreadable once for each. Ruled out: the decoder's streaming of tokens alone; it stops at the first value that is nested too deeply. Left: the streamed watch of the product's own dialect, which sees one object only.

--- a/admin/packs.go
+++ b/admin/packs.go
@@ -19,6 +19,9 @@
 	err := pb.retry(ctx, func() error {
 		objects, err := pb.store.List(ctx, plat.BodyKind)
 		for _, object := range objects {
+			if object.Err != nil {
+				continue
+			}
 			packs[types.Hash(object.Name.Name)] = object
 		}
 		return err
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -208,7 +208,7 @@
 		objects, _ := pf.memory.Load().List(request.Context(), name.Kind)
 		list := plat.ListWire{}
 		for _, object := range objects {
-			list.Items = append(list.Items, toWire(object))
+			list.Items = append(list.Items, mustMarshal(toWire(object)))
 		}
 		writeJSON(writer, list)
 	default:
@@ -328,3 +328,11 @@
 	flt := fault.From(err)
 	http.Error(writer, flt.Message, fault.StatusOf(flt.Kind).HTTPStatus)
 }
+
+func mustMarshal(value any) json.RawMessage {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
--- a/node/directory.go
+++ b/node/directory.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"sequoiamill.example/sequoiamill/core"
+	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/plat"
 	"sequoiamill.example/sequoiamill/trace"
@@ -36,6 +36,9 @@
 	// staleAfter is how long an instance must have been gone from the fleet, by
 	// failure or by leaving, before its directory record is removed.
 	staleAfter = 2 * time.Hour
+	// maxUnreadable bounds the number of unreadable entries of the directory that are
+	// recorded.
+	maxUnreadable = 64
 )
 
 // join lets the node and its peers find each other, through the configured
@@ -118,16 +121,25 @@
 	if err == nil && found > 0 && nd.awaitPeer(ctx) {
 		return nil
 	}
-	if err := nd.writeRecord(ctx); err != nil {
-		return err
-	}
+	failed := nd.writeRecord(ctx)
 	if _, err := nd.readDirectory(ctx); err != nil {
 		return err
 	}
 	if !nd.awaitPeer(ctx) {
 		sleep(ctx, jitter(discoveryInterval))
 	}
-	return nil
+	return failed
+}
+
+// recordUnreadable records an entry of the directory that can't be read, once for the same
+// error.
+func (nd *Node) recordUnreadable(name plat.Name, err error) {
+	detail := string(name.Kind) + "/" + name.Name + ": " + fault.From(err).Error()
+	if nd.unreadable.Has(detail) || nd.unreadable.Len() >= maxUnreadable {
+		return
+	}
+	nd.unreadable = nd.unreadable.With(detail)
+	nd.recordEvent(trace.Event{Kind: trace.EntryUnreadable, Detail: detail})
 }
 
 // awaitPeer waits for the first live peer, at most for contactLimit. It reports
@@ -191,8 +203,12 @@
 	}
 	var seeds []types.Address
 	for _, object := range objects {
-		var wire recordWire
-		if json.Unmarshal(object.Body, &wire) == nil && wire.Address != "" && object.Name != nd.recordName() {
+		wire, err := readRecordWire(object)
+		if err != nil {
+			nd.recordUnreadable(object.Name, err)
+			continue
+		}
+		if wire.Address != "" && object.Name != nd.recordName() {
 			seeds = append(seeds, types.Address(wire.Address))
 		}
 	}
@@ -206,8 +222,8 @@
 // conditional on the revision that was read.
 func (nd *Node) removeStale(ctx context.Context, objects []plat.Object) {
 	for _, object := range objects {
-		var wire recordWire
-		if json.Unmarshal(object.Body, &wire) != nil || !nd.isStale(wire) {
+		wire, err := readRecordWire(object)
+		if err != nil || !nd.isStale(wire) {
 			continue
 		}
 		if nd.store.Delete(ctx, object) == nil {
--- a/node/node.go
+++ b/node/node.go
@@ -83,7 +83,10 @@
 	closeOnce sync.Once
 	runCtx    context.Context
 	watch     watcher
-	pulls     pulls
+	// unreadable are the entries of the directory that were recorded as unreadable. Only
+	// the goroutine that maintains the node's record uses it.
+	unreadable types.Set[string]
+	pulls      pulls
 	// pullSlots is a semaphore that holds one element for each configuration
 	// pull being served.
 	pullSlots       chan struct{}
--- a/node/record.go
+++ b/node/record.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
+	"strconv"
 	"sync"
 
 	"sequoiamill.example/sequoiamill/core"
@@ -22,6 +24,26 @@
 	Crashes []crashWire `json:"crashes,omitempty"`
 }
 
+// readRecordWire decodes a record of the directory. The error is of kind
+// fault.InvalidInput.
+func readRecordWire(object plat.Object) (recordWire, error) {
+	var wire recordWire
+	if object.Err != nil {
+		return wire, object.Err
+	}
+	if err := json.Unmarshal(object.Body, &wire); err != nil {
+		return recordWire{}, fault.Wrap(fault.InvalidInput, err, "decode the record")
+	}
+	_, port, err := net.SplitHostPort(wire.Address)
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil {
+		return recordWire{}, fault.Wrap(fault.InvalidInput, err, "read the record's address")
+	}
+	return wire, nil
+}
+
 // read returns the event that the record was read.
 func (w recordWire) read() core.RecordRead {
 	return core.RecordRead{Departure: w.Departure.departure(), Crashes: storedCrashes(w.Crashes)}
@@ -107,11 +129,17 @@
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	found, err := nd.store.Get(ctx, nd.recordName())
-	if err != nil && !fault.Is(err, fault.NotFound) {
+	if err != nil && !fault.Is(err, fault.NotFound) && !fault.Is(err, fault.InvalidInput) {
 		return err
 	}
 	var wire recordWire
-	if err == nil && json.Unmarshal(found.Body, &wire) == nil {
+	if err == nil {
+		wire, err = readRecordWire(found)
+	}
+	if fault.Is(err, fault.InvalidInput) {
+		nd.recordUnreadable(nd.recordName(), err)
+	}
+	if err == nil {
 		nd.recordKeeper.revision, nd.recordKeeper.body, nd.recordKeeper.era = found.Revision, string(found.Body), found.Revision.Era()
 	}
 	nd.loop.post(wire.read())
@@ -147,8 +175,7 @@
 	if err != nil {
 		return err
 	}
-	var wire recordWire
-	if json.Unmarshal(found.Body, &wire) == nil {
+	if wire, err := readRecordWire(found); err == nil {
 		nd.loop.post(wire.read())
 	}
 	return nd.putRecord(ctx, found.Revision)
--- a/plat/http.go
+++ b/plat/http.go
@@ -95,8 +95,7 @@
 	if output == nil {
 		return nil
 	}
-	err = json.NewDecoder(io.LimitReader(reply.Body, maxReply)).Decode(output)
-	if err != nil {
+	if err := decodeReply(io.LimitReader(reply.Body, maxReply), output); err != nil {
 		return fault.Wrap(fault.PlatformUnavailable, err, "decode the platform's reply").WithOutcome(outcomeOf(method))
 	}
 	if stamped, ok := output.(interface{ stamp(era Era) }); ok {
@@ -105,6 +104,25 @@
 	return nil
 }
 
+// ReplyDecoder is implemented by replies that hold what others have written to the
+// platform. They decode each object by itself, so that one that can't be read costs only
+// itself.
+type ReplyDecoder interface {
+	DecodeReply(text []byte) error
+}
+
+func decodeReply(body io.Reader, output any) error {
+	decoder, ok := output.(ReplyDecoder)
+	if !ok {
+		return json.NewDecoder(body).Decode(output)
+	}
+	text, err := io.ReadAll(body)
+	if err != nil {
+		return err
+	}
+	return decoder.DecodeReply(text)
+}
+
 // client implements the operations of a Store over HTTP.
 type client struct {
 	api          *APIClient
@@ -168,7 +186,13 @@
 	}
 	objects := make([]Object, 0, len(wire.Items))
 	for _, item := range wire.Items {
-		objects = append(objects, item.object(kind, wire.Era()))
+		var object ObjectWire
+		err := json.Unmarshal(item, &object)
+		read := object.object(kind, wire.Era())
+		if err != nil {
+			read = read.WithError(err)
+		}
+		objects = append(objects, read)
 	}
 	return objects, nil
 }
--- a/plat/store.go
+++ b/plat/store.go
@@ -11,6 +11,8 @@
 
 import (
 	"context"
+
+	"sequoiamill.example/sequoiamill/fault"
 )
 
 // Kind is the kind of a stored object.
@@ -48,6 +50,16 @@
 	// objects without them.
 	Status  []byte
 	Created string
+	// Err says why the object could not be read, or is nil. The other fields are then as
+	// far as they could be read, and Body is empty. It is of kind fault.InvalidInput.
+	Err *fault.Error
+}
+
+// WithError returns a copy of the object that could not be read.
+func (o Object) WithError(err error) Object {
+	o.Body = nil
+	o.Err = fault.From(fault.Wrap(fault.InvalidInput, err, "read an object of kind "+string(o.Name.Kind)))
+	return o
 }
 
 // WithBody returns a copy of the object with the given body.
@@ -61,12 +73,12 @@
 // PlatformUnavailable. A write that fails with PlatformUnavailable may have taken
 // effect if the outcome of the error is Unknown.
 type Store struct {
-	// Get reads one object.
+	// Get reads one object. If that can't be decoded, the error is of kind InvalidInput.
 	Get func(ctx context.Context, name Name) (Object, error)
 	// GetCached reads one object and lets the platform answer from a cache, which
 	// costs the platform less than Get. The object may be seconds out of date.
 	GetCached func(ctx context.Context, name Name) (Object, error)
-	// List reads all objects of a kind.
+	// List reads all objects of a kind. Those that can't be decoded have an Err.
 	List func(ctx context.Context, kind Kind) ([]Object, error)
 	// ListCached reads all objects of a kind and lets the platform answer from a
 	// cache, which costs the platform less than List. The result may be seconds out
--- a/plat/wire.go
+++ b/plat/wire.go
@@ -1,5 +1,7 @@
 package plat
 
+import "encoding/json"
+
 // ObjectWire is the JSON form of an object.
 type ObjectWire struct {
 	EraStamped
@@ -22,8 +24,17 @@
 // ListWire is the JSON form of a list of objects.
 type ListWire struct {
 	EraStamped
-	Metadata MetadataWire `json:"metadata"`
-	Items    []ObjectWire `json:"items"`
+	Metadata MetadataWire      `json:"metadata"`
+	Items    []json.RawMessage `json:"items"`
+}
+
+// DecodeReply implements ReplyDecoder.
+func (w *ListWire) DecodeReply(text []byte) error {
+	values, err := SplitObject(text)
+	if err == nil {
+		w.Items, err = SplitArray(values["items"])
+	}
+	return err
 }
 
 // WatchWire is the JSON form of one event of a watch.
--- a/trace/event.go
+++ b/trace/event.go
@@ -61,6 +61,7 @@
 	ConfigPullStarted
 	ConfigPullEnded
 	PollingChanged
+	EntryUnreadable
 	kindCount
 )
 
@@ -105,6 +106,7 @@
 	ConfigPullStarted:   "config-pull-started",
 	ConfigPullEnded:     "config-pull-ended",
 	PollingChanged:      "polling-changed",
+	EntryUnreadable:     "entry-unreadable",
 }
 
 // String returns the kebab-case name of the kind, which the timeline shows.
