Let callers wait while no descriptor is left

Cause: the accept loop for callers ended at any error, also at too many open files, and with it the process. Class of fault: a shortage that passes is taken for the end of a listener. The other listeners are served by the HTTP library, which waits. Change: after such an error the loop waits and goes on, and records callers-wait once for a series. An eighth of the descriptors is kept from callers, so that connections to upstreams, peers and the platform can still be opened. Evidence: TestAcceptGoesOnAfterShortage and TestCallersWaitForAFreeConnection do not pass on the code before by construction: its loop returns the first error and counts no connections. Ruled out: closing idle connections of other callers to make room; they may be about to send.

--- a/node/callers.go
+++ b/node/callers.go
@@ -2,18 +2,32 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/pipe"
 	"sequoiamill.example/sequoiamill/trace"
 )
 
-// defaultHeaderBytes is the maximum size of a request's header in bytes if the
-// configuration sets no limit.
-const defaultHeaderBytes = 1 << 20
+const (
+	// defaultHeaderBytes is the maximum size of a request's header in bytes if the
+	// configuration sets no limit.
+	defaultHeaderBytes = 1 << 20
+	// minAcceptPause and maxAcceptPause bound the wait after a connection could not be
+	// accepted.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+	// reservedPart is the part of the process's descriptors that callers' connections
+	// leave to those to upstreams, peers and the platform.
+	reservedPart = 8
+)
 
 // callerServer serves HTTP to callers on one listener. The configuration may
 // change the limits of a running callerServer: connections accepted afterwards
@@ -26,6 +40,8 @@
 	// acceptDone is closed when serve has returned: no more connections are
 	// accepted, and each accepted one has been passed to a pipe.Server.
 	acceptDone chan struct{}
+	// closing is closed when no more connections are to be accepted.
+	closing chan struct{}
 
 	mu     sync.Mutex
 	limits conf.Limits
@@ -33,6 +49,9 @@
 	closed bool
 	// openConns counts the accepted connections that are not closed yet.
 	openConns sync.WaitGroup
+	// slots holds one element for each open connection. While it is full, callers wait to
+	// be accepted. It is nil if the number of connections is not limited.
+	slots chan struct{}
 }
 
 // callerSettings are what a callerServer needs to know of its node. All fields but
@@ -44,13 +63,24 @@
 	leaving func() bool
 	count   func(trace.Counter)
 	onPanic func(value any)
+	// onRefused gets the first of a series of errors for which no connection could be
+	// accepted.
+	onRefused func(err error)
+	// maxConns is the maximum number of open connections; 0 means no limit.
+	maxConns int
 }
 
 func newCallerServer(listener net.Listener, settings callerSettings) *callerServer {
 	if settings.count == nil {
 		settings.count = func(trace.Counter) {}
 	}
-	cl := &callerServer{listener: listener, settings: settings, acceptDone: make(chan struct{})}
+	if settings.onRefused == nil {
+		settings.onRefused = func(error) {}
+	}
+	cl := &callerServer{listener: listener, settings: settings, acceptDone: make(chan struct{}), closing: make(chan struct{})}
+	if settings.maxConns > 0 {
+		cl.slots = make(chan struct{}, settings.maxConns)
+	}
 	cl.start(conf.Limits{})
 	return cl
 }
@@ -67,7 +97,7 @@
 		MaxHeaderBytes: defaultHeaderBytes,
 		OnAhead:        func() { cl.settings.count(trace.CallsReadAhead) },
 		OnHold:         func() { cl.settings.count(trace.CallsHeldBehind) },
-		OnClosed:       cl.openConns.Done,
+		OnClosed:       cl.connClosed,
 		OnPanic:        cl.settings.onPanic,
 	}
 	if limits.HeaderTimeout > 0 {
@@ -96,16 +126,82 @@
 	old.Stop()
 }
 
-// serve accepts connections until the listener is closed.
+// serve accepts connections until the listener is closed. While the process has no
+// descriptor or memory for another connection, callers wait.
 func (cl *callerServer) serve() error {
 	defer close(cl.acceptDone)
-	for {
+	pause := minAcceptPause
+	for cl.takeSlot() {
 		conn, err := cl.listener.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			pause = minAcceptPause
+			cl.handOff(conn)
+		case isShortage(err):
+			if pause == minAcceptPause {
+				cl.settings.onRefused(err)
+			}
+			cl.freeSlot()
+			cl.await(pause)
+			pause = min(2*pause, maxAcceptPause)
+		default:
 			return err
 		}
-		cl.handOff(conn)
 	}
+	return net.ErrClosed
+}
+
+// isShortage reports whether a connection can be accepted once others have been closed.
+func isShortage(err error) bool {
+	for _, number := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, number) {
+			return true
+		}
+	}
+	return false
+}
+
+// takeSlot waits until another connection may be open. It returns false if no more
+// connections are to be accepted.
+func (cl *callerServer) takeSlot() bool {
+	if cl.slots == nil {
+		return true
+	}
+	select {
+	case cl.slots <- struct{}{}:
+		return true
+	case <-cl.closing:
+		return false
+	}
+}
+
+func (cl *callerServer) freeSlot() {
+	if cl.slots != nil {
+		<-cl.slots
+	}
+}
+
+func (cl *callerServer) connClosed() {
+	cl.freeSlot()
+	cl.openConns.Done()
+}
+
+func (cl *callerServer) await(pause time.Duration) {
+	select {
+	case <-time.After(pause):
+	case <-cl.closing:
+	}
+}
+
+// maxCallerConns returns how many connections of callers a process may hold, by its limit
+// of descriptors, or 0 if that is not known.
+func maxCallerConns() int {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return 0
+	}
+	descriptors := min(limit.Cur, math.MaxInt32)
+	return int(descriptors - descriptors/reservedPart)
 }
 
 // handOff passes a connection to the current pipe.Server. It holds mu, so that
@@ -122,6 +218,7 @@
 // closed, or until ctx ends. A request that arrives during the wait on a
 // connection accepted earlier is still answered.
 func (cl *callerServer) close(ctx context.Context) {
+	close(cl.closing)
 	_ = cl.listener.Close()
 	drained := make(chan struct{})
 	go func() {
--- a/node/callers_test.go
+++ b/node/callers_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -98,3 +100,65 @@
 	is.True(<-served != nil)
 	is.Equal(<-answered, "200")
 }
+
+// scarceListener fails some times for want of descriptors before it accepts connections.
+type scarceListener struct {
+	net.Listener
+	failures int
+}
+
+func (sl *scarceListener) Accept() (net.Conn, error) {
+	if sl.failures > 0 {
+		sl.failures--
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return sl.Listener.Accept()
+}
+
+// TestAcceptGoesOnAfterShortage guards against a node that ends when it has no descriptor
+// for another connection.
+func TestAcceptGoesOnAfterShortage(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	refused := 0
+	cl := newCallerServer(&scarceListener{Listener: inner, failures: 3}, callerSettings{handler: noAnswer, onRefused: func(error) { refused++ }})
+	served := make(chan error, 1)
+	go func() { served <- cl.serve() }()
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	is.Equal(sendRequest(is, conn, 10), "200")
+	_ = conn.Close()
+	cl.close(context.Background())
+	is.True(<-served != nil)
+	is.Equal(refused, 1) // a series is reported once
+}
+
+// TestCallersWaitForAFreeConnection guards against callers who take all descriptors, so that
+// none is left for connections to upstreams and peers.
+func TestCallersWaitForAFreeConnection(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	cl := newCallerServer(listener, callerSettings{handler: noAnswer, maxConns: 2})
+	served := make(chan error, 1)
+	go func() { served <- cl.serve() }()
+	var conns []net.Conn
+	for range 3 {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		conns = append(conns, conn)
+	}
+	is.Equal(sendRequest(is, conns[0], 10), "200")
+	is.Equal(sendRequest(is, conns[1], 10), "200")
+	third := make(chan string, 1)
+	go func() { third <- sendRequest(is, conns[2], 10) }()
+	is.Equal(len(cl.slots), 2)
+	_ = conns[0].Close()
+	is.Equal(<-third, "200")
+	_, _ = conns[1].Close(), conns[2].Close()
+	cl.close(context.Background())
+	is.True(<-served != nil)
+}
--- a/node/run.go
+++ b/node/run.go
@@ -26,6 +26,7 @@
 	var group run.Group
 	server := newCallerServer(proxy.NewSmugglingGuard(nd.wrapTLS(nd.callerListener, Callers)), callerSettings{
 		handler: nd.entry, ahead: nd.mayRepeat, leaving: nd.stopping.Load, count: nd.metrics.count, onPanic: nd.logPanic,
+		onRefused: nd.recordShortage, maxConns: maxCallerConns(),
 	})
 	nd.callerServer.Store(server)
 	group.Add(server.serve, func(error) { server.close(nd.closeContext()) })
@@ -48,6 +49,11 @@
 	return err
 }
 
+// recordShortage records that no connection of a caller could be accepted.
+func (nd *Node) recordShortage(err error) {
+	nd.recordEvent(trace.Event{Kind: trace.CallersWait, Subject: nd.settings.Instance, Detail: err.Error()})
+}
+
 func addTask(runCtx context.Context, group *run.Group, task func(context.Context) error) {
 	ctx, cancel := context.WithCancel(runCtx)
 	group.Add(func() error { return task(ctx) }, func(error) { cancel() })
--- a/trace/event.go
+++ b/trace/event.go
@@ -62,6 +62,7 @@
 	ConfigPullEnded
 	PollingChanged
 	EntryUnreadable
+	CallersWait
 	kindCount
 )
 
@@ -107,6 +108,7 @@
 	ConfigPullEnded:     "config-pull-ended",
 	PollingChanged:      "polling-changed",
 	EntryUnreadable:     "entry-unreadable",
+	CallersWait:         "callers-wait",
 }
 
 // String returns the kebab-case name of the kind, which the timeline shows.
