Stop only after the answers that are being sent

Cause: a call has ended for the state machine once its answer is handed to the handler, which may then take seconds to send it over a thin link. The node closed its connections 0.6 s after the last call had ended in that sense. Class of fault: done is told by the one who decides, not by the one who does it. Change: a stopping node waits for the handlers of the requests that it has read, within its stop limit; later requests do not hold it up. Ruled out: a longer time-out of closing; it would hold up stops with idle connections.

--- a/node/node.go
+++ b/node/node.go
@@ -86,6 +86,7 @@
 	// unreadable are the entries of the directory that were recorded as unreadable. Only
 	// the goroutine that maintains the node's record uses it.
 	unreadable types.Set[string]
+	answering  answering
 	pulls      pulls
 	// pullSlots is a semaphore that holds one element for each configuration
 	// pull being served.
--- a/node/run.go
+++ b/node/run.go
@@ -25,12 +25,12 @@
 	nd.recordEvent(trace.Event{Kind: trace.NodeStarted, Subject: nd.settings.Instance})
 	var group run.Group
 	server := newCallerServer(proxy.NewSmugglingGuard(nd.wrapTLS(nd.callerListener, Callers)), callerSettings{
-		handler: nd.entry, ahead: nd.mayRepeat, leaving: nd.stopping.Load, count: nd.metrics.count, onPanic: nd.logPanic,
+		handler: nd.answering.track(nd.entry), ahead: nd.mayRepeat, leaving: nd.stopping.Load, count: nd.metrics.count, onPanic: nd.logPanic,
 		onRefused: nd.recordShortage, maxConns: maxCallerConns(),
 	})
 	nd.callerServer.Store(server)
 	group.Add(server.serve, func(error) { server.close(nd.closeContext()) })
-	nd.addServer(&group, nd.wrapTLS(nd.peerListener, Peers), nd.closeConnsWhenStopping(nd.peerHandler()))
+	nd.addServer(&group, nd.wrapTLS(nd.peerListener, Peers), nd.closeConnsWhenStopping(nd.answering.track(nd.peerHandler())))
 	nd.addServer(&group, nd.wrapTLS(nd.adminListener, Operators), nd.adminHandler())
 	for _, extra := range nd.extraServers {
 		nd.addServer(&group, extra.listener, extra.handler(nd))
@@ -123,6 +123,7 @@
 	select {
 	case <-nd.drained:
 		nd.leave(ctx)
+		nd.answering.awaitPending(ctx)
 	case <-ctx.Done():
 		_ = nd.logger.Log("event", "stop-limit-reached")
 	}
