--- a/node/directory_test.go
+++ b/node/directory_test.go
@@ -11,6 +11,7 @@
 
 	"sequoiamill.example/sequoiamill/blame"
 	"sequoiamill.example/sequoiamill/core"
+	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/flow"
 	"sequoiamill.example/sequoiamill/plat"
@@ -146,3 +147,32 @@
 	is.NoErr(nd.release(7))
 	is.True(!hasCrashes())
 }
+
+// TestOddRecordsKeepNoNodeAlone guards against a node that finds no peer because its own
+// record, or another one, can't be read.
+func TestOddRecordsKeepNoNodeAlone(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	store := plat.NewMemory().Store()
+	is.NoErr(testNode(is, store, "b").writeRecord(ctx))
+	odd := func(name, body string) plat.Object {
+		return plat.Object{Name: plat.Name{Kind: plat.RecordKind, Name: name}, Body: []byte(body)}
+	}
+	for name, body := range map[string]string{"c": `{"address":7}`, "d": `{"address":"10.0.0.1:99999"}`} {
+		_, err := store.Put(ctx, odd(name, body))
+		is.NoErr(err)
+	}
+	nd := testNode(is, store, "a")
+	unreadable := odd("a", "").WithError(fault.New(fault.InvalidInput, "nested too deeply"))
+	nd.store.Get = func(context.Context, plat.Name) (plat.Object, error) { return unreadable, unreadable.Err }
+	list := nd.store.List
+	nd.store.List = func(ctx context.Context, kind plat.Kind) ([]plat.Object, error) {
+		objects, err := list(ctx, kind)
+		return append(objects, unreadable), err
+	}
+	is.NoErr(nd.readRecord(ctx))
+	found, err := nd.addSeeds(ctx, nd.store.List)
+	is.NoErr(err)
+	is.Equal(found, 1) // the record of b
+	is.Equal(nd.unreadable.Len(), 3)
+}
