End a stopped node though the platform does not answer

A node that was stopped while the store was silent and a departure of its upstream was being written stayed up to 5 s longer: past the end of the grace time, where it is killed. Callers lost nothing by it, as its listeners were closed by then. Cause: the task that maintains the node's record waits for the lock of the record, which the write of the departure holds for as long as its call may take. That call's context ended only after all tasks had ended. Change: the end of the stop cancels that context as well. Ruled out: a lock that each holder takes with a deadline; reads of the record would need it too, and it would not end the call itself.

--- a/node/run.go
+++ b/node/run.go
@@ -39,7 +39,8 @@
 	addTask(runCtx, &group, nd.join)
 	addTask(runCtx, &group, nd.readOrders)
 	addTask(runCtx, &group, nd.reloadCerts)
-	addTask(runCtx, &group, func(runCtx context.Context) error { return nd.awaitStop(ctx, runCtx) })
+	// Once the node has stopped, nothing that waits for the platform may hold its end up.
+	group.Add(func() error { return nd.awaitStop(ctx, runCtx) }, func(error) { cancel() })
 	err := group.Run()
 	detail := "gracefully"
 	if err != nil {
