Pass long names of a configuration between nodes

Nodes would refuse a whole peer message for a route or a service of a roll-out, and a whole trade for a team, whose name is longer than 253 bytes. Cause: the bound of names of nodes stood for names that a configuration declares, too. Change: these may be as long as a configuration. Evidence: TestLongNamesOfAConfigurationPassBetweenNodes fails on the code before, on the roll-out; the trade was not reached there. Not played with running nodes.

--- a/codec/peer.go
+++ b/codec/peer.go
@@ -17,7 +17,10 @@
 	// limit applies to the version reports in a message.
 	maxMembers    = 10_000
 	maxNameLength = fleet.MaxNameLength
-	maxWarmUp     = time.Hour
+	// maxDeclaredLength is the maximum length of a name that a configuration declares, in
+	// bytes. The platform bounds no name, only the whole configuration.
+	maxDeclaredLength = 1 << 20
+	maxWarmUp         = time.Hour
 )
 
 // MessageToProto converts a gossip message and the reading of the sender's clock
--- a/codec/peer_test.go
+++ b/codec/peer_test.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"sequoiamill.example/sequoiamill/blame"
 	"sequoiamill.example/sequoiamill/canary"
 	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/quota"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
 )
@@ -43,6 +45,23 @@
 	}
 }
 
+// TestLongNamesOfAConfigurationPassBetweenNodes guards against a name that the platform has
+// accepted and for which nodes refuse all that the message says.
+func TestLongNamesOfAConfigurationPassBetweenNodes(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("n", 300)
+	message := peerMessage()
+	message.Rollouts[0].Service = types.ServiceName(long)
+	message.Rollouts[0].Tallies[0].Routes[0].Route = types.RouteName(long)
+	_, _, err := MessageFromProto(MessageToProto(message, trace.Stamp{}))
+	is.NoErr(err)
+	team := types.TeamName(long)
+	_, err = TradeFromProto(TradeToProto(quota.Trade{From: "a", Items: []quota.Item{{Team: team, Want: 1}}}))
+	is.NoErr(err)
+	_, err = AnswerFromProto(AnswerToProto(quota.Answer{Grants: []quota.Grant{{Team: team, Tokens: 1}}}))
+	is.NoErr(err)
+}
+
 func TestPeerMessageRoundTrip(t *testing.T) {
 	is := is.New(t)
 	stamp := trace.Stamp{Wall: time.UnixMicro(1767344400000001), Logical: 5}
--- a/codec/rollout.go
+++ b/codec/rollout.go
@@ -77,7 +77,7 @@
 func rolloutFromProto(wire *peerv1.Rollout) (canary.Report, error) {
 	phase := canary.Phase(wire.GetPhase())
 	switch {
-	case wire.GetService() == "" || len(wire.GetService()) > maxNameLength || wire.GetVersion() == "" || len(wire.GetVersion()) > maxNameLength:
+	case wire.GetService() == "" || len(wire.GetService()) > maxDeclaredLength || wire.GetVersion() == "" || len(wire.GetVersion()) > maxNameLength:
 		return canary.Report{}, fault.New(fault.InvalidInput, "peer message: the service or version of a roll-out is missing or too long")
 	case phase < canary.Trial:
 		return canary.Report{}, fault.New(fault.InvalidInput, "peer message: the roll-out of %q has no phase", wire.GetService())
@@ -122,7 +122,7 @@
 	}
 	tally := canary.Tally{Instance: types.InstanceID(wire.GetInstance()), Epoch: wire.GetEpoch(), Version: types.UpstreamVersion(wire.GetVersion())}
 	for _, counted := range wire.GetRoutes() {
-		if len(counted.GetRoute()) > maxNameLength || counted.GetFailures() > counted.GetAnswers() || len(counted.GetDurations()) > canary.DurationClasses {
+		if len(counted.GetRoute()) > maxDeclaredLength || counted.GetFailures() > counted.GetAnswers() || len(counted.GetDurations()) > canary.DurationClasses {
 			return canary.Tally{}, fault.New(fault.InvalidInput, "peer message: a tally of %q is not valid", wire.GetInstance())
 		}
 		tally.Routes = append(tally.Routes, canary.RouteTally{
--- a/codec/trade.go
+++ b/codec/trade.go
@@ -92,6 +92,6 @@
 	return answer, nil
 }
 
-func isTeam(name string) bool { return name != "" && len(name) <= maxNameLength }
+func isTeam(name string) bool { return name != "" && len(name) <= maxDeclaredLength }
 
 func isTokens(tokens float64) bool { return tokens >= 0 && tokens <= maxTokens && !math.IsNaN(tokens) }
