Give all upstreams of a test time to run the request that ends them

Cause: the premise needs all nine nodes to get the request before the first upstream has ended and the others know, 200 ms after the first run; the requests are 20 ms apart. With 200 and with 400 ms between them, the same line fails on an idle path: 5 upstreams ended, in 1 run each. With 30 to 100 ms, 9 to 11 ended. Change: an upstream ends after 600 ms. All three checks and their bounds stay as they are. Evidence: with the race detector, 3 of 3 runs pass (10 or 11 ended), and 6 of 6 at once (9 to 12 ended, 0 to 3 late runs). Ruled out: the changes to what a stop cancels and to names; the test stops no node before its end and announces no odd name.

--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -237,7 +237,7 @@
 // upstreams run at the same time, all of them again when they are back.
 func TestRequestThatEndsAllUpstreamsAtOnceReachesFewLater(t *testing.T) {
 	check := is.New(t)
-	fl := newCrashFleet(t, 9, 200*time.Millisecond, 3*time.Second)
+	fl := newCrashFleet(t, 9, 600*time.Millisecond, 3*time.Second)
 	lateUnserved := fl.sendBesideOthers(20 * time.Millisecond)
 	check.True(len(fl.log.Ends()) >= len(fl.nodes)) // the request ends all upstreams
 	check.True(fl.log.RunsAfter(maxEnded, stability) <= maxLateRuns)
