--- a/review/standin-2/leave.go
+++ b/review/standin-2/leave.go
@@ -43,8 +43,8 @@
 	first := newTarget("i-first", "intake", 9, 600*time.Millisecond, ru)
 	second := newTarget("i-second", "intake", 9, 600*time.Millisecond, ru)
 	st.put("config", "main", config(1, []route{{"r-fee", "fees.example", "/fee/", "non_idempotent", 2500, 1500, "intake", 2}}))
-	one := newNode(folder, "sidecar-kolkata-1", "kolkata", "intake", st, first.address, 284)
-	two := newNode(folder, "sidecar-howrah-1", "howrah", "intake", st, second.address, 284)
+	one := newNode(folder, "sidecar-kolkata-1", "kolkata", "intake", st.address, first.address, 284)
+	two := newNode(folder, "sidecar-howrah-1", "howrah", "intake", st.address, second.address, 284)
 	first.beatAt(one.listen)
 	second.beatAt(two.listen)
 	if !awaitReady(one, two) {
--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -34,11 +35,16 @@
 // started are the nodes that the case started.
 var started []*nodeProcess
 
+// freeAddress returns an address that nobody listens at, with a port below those that the
+// system gives to outgoing connections.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for {
+		address := "127.0.0.1:" + strconv.Itoa(10_000+rand.IntN(20_000))
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
+	}
 }
 
 // programs returns the folder of the checkout and the command of the deploy file.
@@ -55,17 +61,17 @@
 	panic("the deploy file has no command")
 }
 
-func newNode(folder, name, zone, service string, st *store, app string, memoryMb int) *nodeProcess {
+func newNode(folder, name, zone, service, platform, app string, memoryMb int) *nodeProcess {
 	nd := &nodeProcess{name: name, memoryMb: memoryMb, done: make(chan struct{}), inbound: freeAddress(), outbound: freeAddress(), ready: freeAddress(), listen: freeAddress()}
 	nd.folder = folder
 	nd.settings = filepath.Join(folder, name+".toml")
-	nd.writeSettings(zone, service, st.address, app, true)
+	nd.writeSettings(zone, service, platform, app, true)
 	var err error
 	nd.log, err = os.Create(filepath.Join(folder, name+".log"))
 	must(err)
 	nd.start()
 	started = append(started, nd)
-	time.AfterFunc(3*time.Second, func() { nd.writeSettings(zone, service, st.address, app, false) })
+	time.AfterFunc(3*time.Second, func() { nd.writeSettings(zone, service, platform, app, false) })
 	go nd.watch()
 	return nd
 }
