Tell pauses and broken-off runs in the log

Whether a call was given up before its time could not be told from the logs: what a node deducts for a pause was in no line, the time left was counted to the shortened deadline, and an owner that broke off a run said nothing.

node-paused says how long a node had no tick. work-broken-off names the request, the entry node, the error, how long the work ran and what was left of its time. The line of a failed call says after how long of which time-out it ended.

--- a/core/crash.go
+++ b/core/crash.go
@@ -82,6 +82,8 @@
 	case event.Outcome != fault.NotRun:
 		st.lost.abandoned = append(st.lost.abandoned, run)
 		st.lost.abandoned = st.lost.abandoned[max(0, len(st.lost.abandoned)-maxAbandoned):]
+		detail := fmt.Sprintf("%v; after %s, %s before its deadline", event.Err, event.Elapsed.Round(time.Millisecond), work.Deadline.Sub(now).Round(time.Millisecond))
+		return []types.Effect{trace.Event{Kind: trace.WorkBrokenOff, Request: work.Request, Subject: work.EntryNode, Detail: detail}}
 	case event.Err != nil && event.Err.Kind == fault.Unreachable:
 		return st.upstreamEnding(nil, now)
 	}
--- a/core/pause.go
+++ b/core/pause.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"time"
 
 	"sequoiamill.example/sequoiamill/admit"
@@ -51,11 +52,13 @@
 	st.pause, st.lastTick = pause{length: gap, endedAt: now}, now
 	refused := fault.New(fault.NotReady, "the node was paused").WithRetryAfter(defaultRetryAfter)
 	if gap <= maxTickGap {
+		detail := fmt.Sprintf("no tick for %s, suspended for %s of it", gap.Round(time.Millisecond), suspended.Round(time.Millisecond))
+		effects := []types.Effect{trace.Event{Kind: trace.NodePaused, Subject: st.fleet.Self().ID, Detail: detail}}
 		if suspended < minPause {
-			return nil
+			return effects
 		}
 		// The deadlines of queued work do not count the time of the suspend.
-		return st.admission.RefuseQueued(refused)
+		return append(effects, st.admission.RefuseQueued(refused)...)
 	}
 	st.fleet.Rejoin(now)
 	st.keys.ledger.MarkIncompleteBefore(now)
--- a/flow/finish.go
+++ b/flow/finish.go
@@ -86,8 +86,9 @@
 
 // describe returns the detail of the event that records a failed call.
 func (cs *callState) describe(err *fault.Error, now time.Time) string {
-	return fmt.Sprintf("%s; outcome %s, come back in %s; route %s, service %s, attempts %d, left %s", err.Error(), err.Outcome,
-		err.RetryAfter.Round(time.Millisecond), cs.call.Route.Name, cs.call.Route.Service, cs.attempts, cs.call.Deadline.Sub(now).Round(time.Millisecond))
+	return fmt.Sprintf("%s; outcome %s, come back in %s; route %s, service %s, attempts %d, left %s, after %s of %s", err.Error(), err.Outcome,
+		err.RetryAfter.Round(time.Millisecond), cs.call.Route.Name, cs.call.Route.Service, cs.attempts, cs.call.Deadline.Sub(now).Round(time.Millisecond),
+		now.Sub(cs.began).Round(time.Millisecond), cs.call.Route.Deadline)
 }
 
 // outcomeUnknown returns the error of non-idempotent work that may have run.
--- a/flow/table.go
+++ b/flow/table.go
@@ -102,6 +102,8 @@
 // callState is the state of a call in flight.
 type callState struct {
 	call Call
+	// began is when the call was begun.
+	began time.Time
 	// tried holds the upstreams that an attempt was sent to.
 	tried types.Set[types.InstanceID]
 	// refused holds the upstreams in tried that did not run the work.
@@ -200,7 +202,7 @@
 // Begin starts the first attempt of a call and sets its timers.
 func (tb *Table) Begin(call Call, now time.Time) []types.Effect {
 	tb.serviceBudget(call.Route.Service).addRequest(call.Team, now)
-	cs := &callState{call: call, inFlight: map[int]attempt{}}
+	cs := &callState{call: call, began: now, inFlight: map[int]attempt{}}
 	tb.calls[call.ID] = cs
 	effects := tb.startNext(cs, now)
 	if _, ok := tb.calls[call.ID]; !ok {
--- a/trace/event.go
+++ b/trace/event.go
@@ -63,6 +63,8 @@
 	PollingChanged
 	EntryUnreadable
 	CallersWait
+	NodePaused
+	WorkBrokenOff
 	kindCount
 )
 
@@ -109,6 +111,8 @@
 	PollingChanged:      "polling-changed",
 	EntryUnreadable:     "entry-unreadable",
 	CallersWait:         "callers-wait",
+	NodePaused:          "node-paused",
+	WorkBrokenOff:       "work-broken-off",
 }
 
 // String returns the kebab-case name of the kind, which the timeline shows.
