Show calls that end before their time because ticks were late

What callers saw: 504 after 888 ms of a time-out of 1,374 ms, while their request ran at its upstream.

core.TestNoCallIsGivenUpBeforeItsTimeoutAfterAPause and TestNoRunIsBrokenOffBeforeItsDeadlineAfterAPause fail on this code: what a node takes for a pause is deducted from the time of each request that it reads in the next 200 ms, at the entry node and at the owner.

--- a/core/pause_test.go
+++ b/core/pause_test.go
@@ -113,3 +113,73 @@
 	sent, _ = call(600 * time.Millisecond)
 	check.True(sent)
 }
+
+// busy lets time pass in which the node handles events, but no tick.
+func (sn *singleNode) busy(limit time.Duration) {
+	for end := sn.now.Add(limit); sn.now.Before(end); {
+		sn.now = sn.now.Add(tickInterval)
+		sn.step(core.RecordRead{})
+	}
+}
+
+// callDeadlines returns when the node gives a call up, and until when its first attempt
+// may run, both from now.
+func (sn *singleNode) callDeadlines(limit time.Duration) (call, attempt time.Duration) {
+	sn.lastID++
+	arrived := flow.CallArrived{Call: types.CallID(sn.lastID), Request: "r", Target: route.Request{Method: "POST", Path: "/s0"}, Limit: types.Some(limit)}
+	for _, effect := range sn.step(arrived) {
+		switch ef := effect.(type) {
+		case types.SetTimer:
+			if ef.Timer.Kind == types.CallDeadline {
+				call = ef.At.Sub(sn.now)
+			}
+		case flow.StartAttempt:
+			attempt = ef.Deadline.Sub(sn.now)
+		}
+	}
+	return call, attempt
+}
+
+// TestNoCallIsGivenUpBeforeItsTimeoutAfterAPause guards against calls that end early,
+// while their upstream is at work, because the node was paused or its ticks were late.
+func TestNoCallIsGivenUpBeforeItsTimeoutAfterAPause(t *testing.T) {
+	for name, pass := range map[string]func(sn *singleNode){
+		"late tick":       func(sn *singleNode) { sn.busy(600 * time.Millisecond) },
+		"stopped process": func(sn *singleNode) { sn.now = sn.now.Add(700 * time.Millisecond) },
+		"suspend":         func(sn *singleNode) { sn.step(core.Tick{Suspended: 700 * time.Millisecond}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			sn := newNode(t, 1, 3)
+			sn.ticks(time.Second)
+			pass(sn)
+			call, attempt := sn.callDeadlines(900 * time.Millisecond)
+			check.Equal(call, 900*time.Millisecond)
+			check.Equal(attempt, 900*time.Millisecond)
+		})
+	}
+}
+
+// TestNoRunIsBrokenOffBeforeItsDeadlineAfterAPause guards against owners that break off a
+// run while its entry node still waits, because they were paused or their ticks were late.
+func TestNoRunIsBrokenOffBeforeItsDeadlineAfterAPause(t *testing.T) {
+	for name, pass := range map[string]func(sn *singleNode){
+		"late tick":       func(sn *singleNode) { sn.busy(600 * time.Millisecond) },
+		"stopped process": func(sn *singleNode) { sn.now = sn.now.Add(700 * time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			sn := newNode(t, 1, 1)
+			sn.ticks(time.Second)
+			pass(sn)
+			effects := sn.work(1, 2*time.Second)
+			dispatched, _, _ := countOutcomes(effects)
+			check.Equal(dispatched, 1)
+			for _, effect := range effects {
+				if ef, ok := effect.(admit.Dispatch); ok {
+					check.Equal(ef.Work.Deadline.Sub(sn.now), 2*time.Second)
+				}
+			}
+		})
+	}
+}
