Keep the time of calls that a node reads after a pause

What callers saw: a 504 well before their deadline and the route's time-out, while their request ran; after SIGTERM that breaks LOST.

Cause: a node deducted the length of a pause from the time of each request that it read in the next 200 ms, in case the request had waited through the pause. Whether it had is not known, and the deduction was taken as a fact also where it harms: it ended calls and runs that callers still waited for. Class: a bound on what is not known is used in both directions.

Now the bound only decides whether work may begin: a call whose whole time may be over is refused as not-run, as before, and work at its owner must start by the earliest time at which its entry node may have given it up (WorkItem.StartBy). What has begun runs until its full deadline; a caller or entry node that is gone ends it by closing its connection.

Evidence: core.TestNoCallIsGivenUpBeforeItsTimeoutAfterAPause and TestNoRunIsBrokenOffBeforeItsDeadlineAfterAPause failed before and pass now.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -133,7 +133,7 @@
 
 // Submit dispatches, queues or refuses a new work item.
 func (ct *Controller) Submit(work WorkItem, now time.Time) []types.Effect {
-	if ct.mode == shedding && !now.Before(work.Deadline) {
+	if ct.mode == shedding && !now.Before(work.startBy()) {
 		return ct.refuseExpired(work)
 	}
 	item := ct.newQueueItem(work, now)
@@ -148,7 +148,7 @@
 		return ct.dispatch(nil, item, now)
 	}
 	if ct.mode == unbounded {
-		return ct.enqueue(nil, item, work.Deadline, now)
+		return ct.enqueue(nil, item, work.startBy(), now)
 	}
 	effects, err := ct.admitToQueue(item, now)
 	if err != nil {
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -37,7 +37,7 @@
 	return !w.Work.SoftDeadline.IsZero() && now.Add(w.ExpectedDuration).After(w.Work.SoftDeadline)
 }
 
-// latestStart returns the latest time at which the work can start and still end
+// latestStart returns the latest time at which the work may start and still end
 // by its soft deadline, or by its deadline if the soft deadline is missed or
 // not set.
 func (w QueueItem) latestStart(now time.Time) time.Time {
@@ -45,7 +45,11 @@
 	if !w.Work.SoftDeadline.IsZero() && !w.missesSoftDeadline(now) && w.Work.SoftDeadline.Before(end) {
 		end = w.Work.SoftDeadline
 	}
-	return end.Add(-w.ExpectedDuration)
+	latest := end.Add(-w.ExpectedDuration)
+	if limit := w.Work.startBy(); limit.Before(latest) {
+		return limit
+	}
+	return latest
 }
 
 // newQueueItem returns an arriving work item with its current estimates.
@@ -91,7 +95,7 @@
 			break
 		}
 		item := ct.queue[i]
-		if ct.mode == shedding && !now.Before(item.Work.Deadline) {
+		if ct.mode == shedding && !now.Before(item.Work.startBy()) {
 			ct.dropAt(i)
 			effects = append(effects, ct.refuseExpired(item.Work)...)
 			continue
--- a/admit/work.go
+++ b/admit/work.go
@@ -47,6 +47,10 @@
 	RequireEcho bool
 	// Deadline is the time after which an answer is useless to the caller.
 	Deadline time.Time
+	// StartBy is the time from which on the work must not start, because its entry node
+	// may have given it up. Zero means that it may start until Deadline. Work that has
+	// started runs until Deadline.
+	StartBy time.Time
 	// SoftDeadline is the time after which an answer is worth less to the caller.
 	// Zero means that there is no soft deadline.
 	SoftDeadline time.Time
@@ -61,6 +65,14 @@
 	LinkWait time.Duration
 }
 
+// startBy returns the time from which on the work must not start.
+func (w WorkItem) startBy() time.Time {
+	if w.StartBy.IsZero() {
+		return w.Deadline
+	}
+	return w.StartBy
+}
+
 // Keyed reports whether the work is non-idempotent and has an idempotency key,
 // so that it must run at most once.
 func (w WorkItem) Keyed() bool { return !w.Idempotent && w.Key.IsSome() }
--- a/core/entry.go
+++ b/core/entry.go
@@ -33,8 +33,8 @@
 	if len(matched.Split) > 0 {
 		matched = matched.WithService(st.splitter.Choose(matched))
 	}
-	limit := min(matched.Deadline, event.Limit.Or(matched.Deadline)) - st.pause.maxWaited(now)
-	if limit <= 0 {
+	limit := min(matched.Deadline, event.Limit.Or(matched.Deadline))
+	if limit <= st.pause.maxWaited(now) {
 		err := fault.New(fault.DeadlineExceeded, "the deadline came while the node was paused").WithRetryAfter(defaultRetryAfter)
 		return append(effects, refuseCall(event, err)...)
 	}
--- a/core/owner.go
+++ b/core/owner.go
@@ -313,7 +313,7 @@
 		return fault.New(fault.Closed, "the upstream is leaving").WithRetryAfter(defaultRetryAfter)
 	case !st.effectiveRule(st.fleet.Self(), now).admits(st.admission.TypicalDuration(work.Route), now):
 		return fault.New(fault.Closed, "the upstream is closed when the work would end").WithRetryAfter(defaultRetryAfter)
-	case st.pause.maxWaited(now) > 0 && !now.Before(work.Deadline):
+	case !work.StartBy.IsZero() && !now.Before(work.StartBy):
 		return fault.New(fault.DeadlineExceeded, "the deadline came while the node was paused").WithRetryAfter(defaultRetryAfter)
 	default:
 		return st.versionError(work, now)
--- a/core/pause.go
+++ b/core/pause.go
@@ -69,12 +69,15 @@
 	return append(effects, st.admission.RefuseQueued(refused)...)
 }
 
-// afterPause returns the work item with the deadlines that its entry node holds it to if
-// the item waited unread through the whole pause. By a later deadline, the entry node may
-// have told the caller that the outcome is unknown, and the work must not run then.
+// afterPause returns the work item as it has to be treated if it waited unread through the
+// whole pause: its entry node may have given it up that much earlier, and then it must not
+// start. Its deadline stays, since it may as well have been sent after the pause.
 func (st *State) afterPause(work admit.WorkItem, now time.Time) admit.WorkItem {
 	waited := st.pause.maxWaited(now)
-	work.Deadline = work.Deadline.Add(-waited)
+	if waited == 0 {
+		return work
+	}
+	work.StartBy = work.Deadline.Add(-waited)
 	if !work.SoftDeadline.IsZero() {
 		work.SoftDeadline = work.SoftDeadline.Add(-waited)
 	}
