Let the reader of a connection close it when it stops idle

Cause: new limits replace the server of callers' connections, and the old one closes those that are idle. A connection counted as idle until the reader's goroutine had noted the first byte of a request. On a busy processor that takes hundreds of milliseconds after the bytes have been read from the socket: a goroutine that returns from a system call waits for its turn. Class: one goroutine acts on what another is about to change. The end of a stop closes idle connections in the same way.

Now a stop only wakes the reader. It reads once more, and closes the connection itself if nothing has come; otherwise the request is served and its answer says that the connection closes.

--- a/pipe/conn.go
+++ b/pipe/conn.go
@@ -240,12 +240,33 @@
 	}
 }
 
-// stop makes the connection close after the requests read so far.
+// stop makes the connection close after the requests read so far. Only the reader knows
+// whether it has read the start of another one, so it closes an idle connection itself.
 func (cn *conn) stop() {
+	cn.take(Event{Kind: Stopping})
 	cn.mu.Lock()
-	idle := cn.started && cn.source.idle.Load()
-	cn.mu.Unlock()
-	cn.take(Event{Kind: Stopping, Last: idle})
+	defer cn.mu.Unlock()
+	if cn.started && !cn.draining {
+		_ = cn.netConn.SetReadDeadline(pastTime)
+	}
+}
+
+// endIdle closes the connection if it stops and waits for its next request, which has not
+// been read. It reports whether it does. Only the reader may call it.
+func (cn *conn) endIdle() bool {
+	if !cn.stopsWhenIdle() {
+		return false
+	}
+	cn.take(Event{Kind: Stopping, Last: true})
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.ended
+}
+
+func (cn *conn) stopsWhenIdle() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.started && cn.server.stopping.Load()
 }
 
 // close closes the connection. If the caller may have sent more, the reader discards it
--- a/pipe/request.go
+++ b/pipe/request.go
@@ -66,8 +66,6 @@
 // send after the body of a POST.
 func (cn *conn) awaitHead() error {
 	const mostLineEnds = 4
-	cn.source.idle.Store(cn.reader.Buffered() == 0 && len(cn.source.spare) == 0)
-	defer cn.source.idle.Store(false)
 	for skipped := 0; ; skipped++ {
 		first, err := cn.reader.Peek(1)
 		if err != nil {
--- a/pipe/source.go
+++ b/pipe/source.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,6 +11,10 @@
 // pastTime is a deadline that has always passed.
 var pastTime = time.Unix(1, 0)
 
+// lastLookTime is how long an idle connection that stops is read for a last time. A read
+// whose deadline has passed returns nothing, even if bytes have come.
+const lastLookTime = time.Millisecond
+
 // phase is what the bytes that are read next belong to.
 type phase int
 
@@ -35,15 +38,15 @@
 	headFrom time.Time
 	// armed is the deadline of the connection; zero means none.
 	armed time.Time
-	// idle is true while no byte of the next request has come.
-	idle atomic.Bool
+	// looked is true once a connection that stops has been read for a last time.
+	looked bool
 	// err is the error that ended the connection.
 	err error
 }
 
 // next prepares for the next request.
 func (sc *source) next() {
-	sc.phase = waiting
+	sc.phase, sc.looked = waiting, false
 	sc.left = int64(sc.cn.server.MaxHeaderBytes) + headSlop
 }
 
@@ -114,6 +117,9 @@
 	end := now.Add(sc.cn.server.IdleTimeout)
 	switch sc.phase {
 	case waiting:
+		if sc.cn.stopsWhenIdle() {
+			return sc.rearmStopped(now)
+		}
 		end = sc.cn.idleEnd(now)
 	case inHead:
 		end = sc.headFrom.Add(sc.cn.server.HeaderTimeout)
@@ -123,6 +129,24 @@
 		return false
 	}
 	sc.arm(end)
+	if sc.phase == waiting && sc.cn.stopsWhenIdle() {
+		sc.arm(pastTime)
+	}
+	return true
+}
+
+// rearmStopped is rearm for a connection that stops and waits for its next request.
+func (sc *source) rearmStopped(now time.Time) bool {
+	switch {
+	case !sc.looked:
+		sc.looked = true
+		sc.arm(now.Add(lastLookTime))
+	case sc.cn.endIdle():
+		return false
+	default:
+		// The connection is closed after the answers that are due.
+		sc.arm(now.Add(sc.cn.server.IdleTimeout))
+	}
 	return true
 }
 
