Tell a late tick from a pause

Cause: a pause was told by the time since the last tick. On a thin processor the ticker waits for its turn for half a second, while hundreds of other events are handled. Class: the lateness of one task stands for that of the whole process.

Now a pause is a time without any event; ticks are events too, so that a node without traffic notices one as before. A node still rejoins after 3 s without a tick, since that is what its peers see.

Evidence: core.TestBusyNodeRefusesNothingForALateTick fails with the change taken out.

--- a/core/pause_test.go
+++ b/core/pause_test.go
@@ -189,3 +189,16 @@
 		})
 	}
 }
+
+// TestBusyNodeRefusesNothingForALateTick guards against a node that takes a late tick for a
+// pause, though it handles events, and refuses what may have waited through it.
+func TestBusyNodeRefusesNothingForALateTick(t *testing.T) {
+	check := is.New(t)
+	sn := newNode(t, 1, 3)
+	sn.ticks(time.Second)
+	sn.busy(600 * time.Millisecond)
+	call, _ := sn.callDeadlines(400 * time.Millisecond)
+	check.Equal(call, 400*time.Millisecond)
+	dispatched, _, _ := countOutcomes(sn.work(1, 400*time.Millisecond))
+	check.Equal(dispatched, 1)
+}
--- a/core/state.go
+++ b/core/state.go
@@ -36,7 +36,9 @@
 	policies      Policies
 	// lastTick is when the last tick was, or the end of a pause since then.
 	lastTick time.Time
-	pause    pause
+	// lastEvent is when the last event was handled.
+	lastEvent time.Time
+	pause     pause
 	// rootVersion is the version of the platform's configuration root when it was
 	// last read.
 	rootVersion types.Version
