Answer a request that is read before the answer ahead of it counts as written

Cause: an answer is flushed before its writer notes that. A caller that has it may send its next request, which is read and held. If a stop comes between, also by SIGTERM alone, the connection was closed as soon as the answer counted as written, though no answer had said so. Besides, the last read of an idle connection returned a time-out without reading if its goroutine was held up for 1 ms. Class: one goroutine acts on what another is about to change.

Now a connection whose close no answer has announced is closed by its reader alone, when a read that began before its deadline has found nothing; a held request runs, and its answer announces the close.

Evidence: pipe.TestStopAnswersRequestReadBehindAWrittenAnswer and TestStopReadsWhatLiesInTheSocket fail without the change. TestStopEndsEveryConnection plays random stops; it found a loop of the reader of a connection that drains, which is mended here.

--- a/pipe/conn.go
+++ b/pipe/conn.go
@@ -251,24 +251,29 @@
 	}
 }
 
-// endIdle closes the connection if it stops and waits for its next request, which has not
-// been read. It reports whether it does. Only the reader may call it.
-func (cn *conn) endIdle() bool {
-	if !cn.stopsWhenIdle() {
-		return false
-	}
+// closeIfIdle closes the connection if no answer is due. It reports whether the connection
+// has ended. Only the reader may call it, while it waits for the next request.
+func (cn *conn) closeIfIdle() bool {
 	cn.take(Event{Kind: Stopping, Last: true})
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	return cn.ended
 }
 
+// stopsWhenIdle reports whether the connection is to be closed once it is idle.
 func (cn *conn) stopsWhenIdle() bool {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	return cn.started && cn.server.stopping.Load()
 }
 
+// answersDue reports whether requests run or their answers are not written yet.
+func (cn *conn) answersDue() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.line.Len() > 0
+}
+
 // close closes the connection. If the caller may have sent more, the reader discards it
 // first.
 func (cn *conn) close() {
@@ -347,6 +352,9 @@
 	result := cn.step(Event{Kind: Written, ID: ex.id}, nil)
 	cn.forget(ex)
 	cn.idleSince = time.Now()
+	if cn.server.stopping.Load() && cn.line.Len() == 0 && !result.close && !cn.draining {
+		_ = cn.netConn.SetReadDeadline(pastTime)
+	}
 	cn.mu.Unlock()
 	ex.recycle()
 	if err != nil {
--- a/pipe/line.go
+++ b/pipe/line.go
@@ -229,13 +229,15 @@
 	}
 }
 
+// written passes the turn on. If the connection stops and no answer has said so, the
+// caller may have sent another request, which runs; the reader closes an idle connection.
 func (ln *Line) written(id int) {
 	if len(ln.queue) == 0 || ln.queue[0].id != id {
 		return
 	}
 	ln.queue = append(ln.queue[:0], ln.queue[1:]...)
 	switch {
-	case len(ln.queue) == 0 && (ln.closed || ln.stopping || ln.last):
+	case len(ln.queue) == 0 && (ln.closed || ln.last):
 		ln.shut()
 		ln.act(Close, 0)
 		return
--- a/pipe/source.go
+++ b/pipe/source.go
@@ -11,9 +11,9 @@
 // pastTime is a deadline that has always passed.
 var pastTime = time.Unix(1, 0)
 
-// lastLookTime is how long an idle connection that stops is read for a last time. A read
-// whose deadline has passed returns nothing, even if bytes have come.
-const lastLookTime = time.Millisecond
+// finalReadTime is how long an idle connection that stops is read once more. A read whose
+// deadline has passed returns nothing, even if bytes have come.
+const finalReadTime = 10 * time.Millisecond
 
 // phase is what the bytes that are read next belong to.
 type phase int
@@ -38,15 +38,17 @@
 	headFrom time.Time
 	// armed is the deadline of the connection; zero means none.
 	armed time.Time
-	// looked is true once a connection that stops has been read for a last time.
-	looked bool
+	// finalRead is true while an idle connection that stops is read once more, and
+	// finalReadFrom is when that read began.
+	finalRead     bool
+	finalReadFrom time.Time
 	// err is the error that ended the connection.
 	err error
 }
 
 // next prepares for the next request.
 func (sc *source) next() {
-	sc.phase, sc.looked = waiting, false
+	sc.phase, sc.finalRead = waiting, false
 	sc.left = int64(sc.cn.server.MaxHeaderBytes) + headSlop
 }
 
@@ -84,6 +86,9 @@
 		sc.limit(sc.headFrom.Add(sc.cn.server.HeaderTimeout))
 	}
 	for {
+		if sc.finalRead {
+			sc.finalReadFrom = time.Now()
+		}
 		count, err := sc.cn.netConn.Read(buffer)
 		if err == nil || count > 0 {
 			return count, nil
@@ -114,6 +119,9 @@
 // rearm sets the next deadline after one has passed. It returns false if the caller took
 // too long.
 func (sc *source) rearm(now time.Time) bool {
+	if sc.cn.isDraining() {
+		return false
+	}
 	end := now.Add(sc.cn.server.IdleTimeout)
 	switch sc.phase {
 	case waiting:
@@ -125,7 +133,7 @@
 		end = sc.headFrom.Add(sc.cn.server.HeaderTimeout)
 	case inBody:
 	}
-	if !end.After(now) || sc.cn.isDraining() {
+	if !end.After(now) {
 		return false
 	}
 	sc.arm(end)
@@ -135,17 +143,22 @@
 	return true
 }
 
-// rearmStopped is rearm for a connection that stops and waits for its next request.
+// rearmStopped is rearm for a connection that stops and waits for its next request. It
+// closes the connection once a read has surely found nothing.
 func (sc *source) rearmStopped(now time.Time) bool {
+	again := !sc.finalRead || !sc.finalReadFrom.Before(sc.armed) || now.Before(sc.armed)
 	switch {
-	case !sc.looked:
-		sc.looked = true
-		sc.arm(now.Add(lastLookTime))
-	case sc.cn.endIdle():
+	case again:
+		sc.finalRead = true
+		sc.arm(now.Add(finalReadTime))
+	case sc.cn.closeIfIdle():
 		return false
 	default:
-		// The connection is closed after the answers that are due.
+		sc.finalRead = false
 		sc.arm(now.Add(sc.cn.server.IdleTimeout))
+		if sc.cn.stopsWhenIdle() && !sc.cn.answersDue() {
+			sc.arm(pastTime)
+		}
 	}
 	return true
 }
