Rejoin only after a pause

Cause: the rejoin went by the time since the last tick, which a pause no longer resets.

Now a rejoin, too, follows a time without any event.

Evidence: core.TestBusyNodeDoesNotRejoinForLateTicks fails without the change.

--- a/core/join_test.go
+++ b/core/join_test.go
@@ -96,7 +96,7 @@
 	st.Step(Tick{}, now)
 	is.True(!refused(st.Step(admit.Arrived{Work: work(1)}, now)))
 
-	now = now.Add(maxTickGap + time.Second)
+	now = now.Add(maxPause + time.Second)
 	effects := st.Step(admit.Arrived{Work: work(2)}, now)
 	is.True(refused(effects)) // refused before the first tick after the pause
 	is.True(!st.Ready())
--- a/core/pause.go
+++ b/core/pause.go
@@ -13,9 +13,9 @@
 const (
 	// minPause is the shortest time without an event that counts as a pause.
 	minPause = 500 * time.Millisecond
-	// maxTickGap is the longest pause after which the node need not rejoin. It is
+	// maxPause is the longest pause after which the node need not rejoin. It is
 	// shorter than the time after which other nodes declare a silent node dead.
-	maxTickGap = 3 * time.Second
+	maxPause = 3 * time.Second
 	// wakePeriod is how long after a pause the node reads requests that may have waited
 	// through the pause in the buffers of its connections.
 	wakePeriod = 200 * time.Millisecond
@@ -37,10 +37,10 @@
 }
 
 // detectPause notices that the process was paused: it handled no event. A late tick alone
-// is no pause, as a busy node handles other events meanwhile. After more than maxTickGap
-// without a tick, the node rejoins the fleet, since other nodes may have declared it dead.
-// detectPause runs before every event, because work that arrived during the pause may be
-// handled before the next tick.
+// is no pause, as a busy node handles other events meanwhile. After more than maxPause, the
+// node rejoins the fleet, since other nodes may have declared it dead. detectPause runs
+// before every event, because work that arrived during the pause may be handled before
+// the next tick.
 func (st *State) detectPause(event types.Event, now time.Time) []types.Effect {
 	suspended := time.Duration(0)
 	if tick, ok := event.(Tick); ok {
@@ -48,18 +48,13 @@
 	}
 	last := st.lastEvent
 	st.lastEvent = now
-	if st.lastTick.IsZero() {
+	gap := now.Sub(last) + suspended
+	if !st.ticked || gap < minPause {
 		return nil
 	}
-	gap, tickGap := now.Sub(last)+suspended, now.Sub(st.lastTick)+suspended
-	if gap >= minPause {
-		st.pause = pause{length: gap, endedAt: now}
-	}
+	st.pause = pause{length: gap, endedAt: now}
 	refused := fault.New(fault.NotReady, "the node was paused").WithRetryAfter(defaultRetryAfter)
-	if tickGap <= maxTickGap {
-		if gap < minPause {
-			return nil
-		}
+	if gap <= maxPause {
 		detail := fmt.Sprintf("no event for %s, suspended for %s of it", gap.Round(time.Millisecond), suspended.Round(time.Millisecond))
 		effects := []types.Effect{trace.Event{Kind: trace.NodePaused, Subject: st.fleet.Self().ID, Detail: detail}}
 		if suspended < minPause {
@@ -68,11 +63,10 @@
 		// The deadlines of queued work do not count the time of the suspend.
 		return append(effects, st.admission.RefuseQueued(refused)...)
 	}
-	st.lastTick = now
 	st.fleet.Rejoin(now)
 	st.keys.ledger.MarkIncompleteBefore(now)
 	effects := []types.Effect{
-		trace.Event{Kind: trace.NodeRejoined, Subject: st.fleet.Self().ID, Detail: "paused for " + tickGap.Truncate(time.Millisecond).String()},
+		trace.Event{Kind: trace.NodeRejoined, Subject: st.fleet.Self().ID, Detail: "paused for " + gap.Truncate(time.Millisecond).String()},
 		ReadRoot{Epoch: st.fleet.Epoch()},
 	}
 	return append(effects, st.admission.RefuseQueued(refused)...)
--- a/core/pause_test.go
+++ b/core/pause_test.go
@@ -202,3 +202,15 @@
 	dispatched, _, _ := countOutcomes(sn.work(1, 400*time.Millisecond))
 	check.Equal(dispatched, 1)
 }
+
+// TestBusyNodeDoesNotRejoinForLateTicks guards against a node that handles events, but rejoins
+// the fleet and refuses its work because no tick has come for long.
+func TestBusyNodeDoesNotRejoinForLateTicks(t *testing.T) {
+	check := is.New(t)
+	sn := newNode(t, 1, 3)
+	sn.ticks(time.Second)
+	sn.busy(4 * time.Second)
+	check.True(sn.state.Ready())
+	dispatched, _, _ := countOutcomes(sn.work(1, time.Second))
+	check.Equal(dispatched, 1)
+}
--- a/core/state.go
+++ b/core/state.go
@@ -34,8 +34,8 @@
 	splitter      *route.Splitter
 	callerRetries *flow.RetryTracker
 	policies      Policies
-	// lastTick is when the last tick was, or the end of a pause since then.
-	lastTick time.Time
+	// ticked is true after the first tick.
+	ticked bool
 	// lastEvent is when the last event was handled.
 	lastEvent time.Time
 	pause     pause
@@ -252,7 +252,7 @@
 }
 
 func (st *State) tick(now time.Time) []types.Effect {
-	st.lastTick = now
+	st.ticked = true
 	st.record.tick(now)
 	effects := st.fleet.Tick(now)
 	effects = append(effects, st.blameChanged(st.blame.Tick(now), nil, now)...)
