End a request whose body stops short

Seen: a caller that sent a part of a body and stopped got no answer, and what it had sent stayed in memory until it closed the connection. Cause: while a body was read, the deadline of the connection was moved on each time that it had passed, whether or not bytes had come. Change: the deadline is the idle time-out after the latest byte. The request is then answered 408, kind request-timeout, as not run, and the connection closes. It is true: a request is posted after its whole body has been read. A body that sends a byte within each time-out is read on. Evidence: without the change to package pipe, TestStalledBodyEnds and TestStalledBodyIsAnswered don't end (test time-outs of 20 s and 10 s); with it they pass with -race.

--- a/fault/kind.go
+++ b/fault/kind.go
@@ -36,6 +36,7 @@
 	Held
 	Unauthenticated
 	LimitExceeded
+	RequestTimeout
 	kindCount
 )
 
@@ -63,6 +64,7 @@
 	Held:                "held",
 	Unauthenticated:     "unauthenticated",
 	LimitExceeded:       "limit-exceeded",
+	RequestTimeout:      "request-timeout",
 }
 
 // String returns the kebab-case name of the kind.
--- a/fault/table.go
+++ b/fault/table.go
@@ -84,6 +84,7 @@
 	Held:                {503, codeUnavailable, NotRun, false, 21},
 	Unauthenticated:     {401, codeUnauthenticated, NotRun, false, 22},
 	LimitExceeded:       {429, codeResourceExhausted, NotRun, false, 23},
+	RequestTimeout:      {408, codeDeadlineExceeded, NotRun, true, 24},
 }
 
 // StatusOf returns the Status of an error kind, or that of Internal if the kind
--- a/pipe/request.go
+++ b/pipe/request.go
@@ -47,7 +47,7 @@
 	if refused, ok := checkRequest(request); !ok {
 		return cn.refuse(refused), nil
 	}
-	cn.source.phase = inBody
+	cn.source.beginBody()
 	return cn.prepare(request), nil
 }
 
--- a/pipe/server.go
+++ b/pipe/server.go
@@ -41,7 +41,9 @@
 	// Bounds are the bounds of each connection. The zero value selects DefaultBounds.
 	Bounds Bounds
 	// HeaderTimeout is the maximum duration of reading the head of a request, and
-	// IdleTimeout that of waiting for the next request. Both must be above 0.
+	// IdleTimeout that of waiting for the next request or for the next bytes of a body.
+	// Both must be above 0. Reading a body that has stalled fails with
+	// os.ErrDeadlineExceeded.
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 	// MaxHeaderBytes is the maximum size of a request's head in bytes.
--- a/pipe/source.go
+++ b/pipe/source.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,8 @@
 	phase phase
 	// headFrom is when the reading of the current head began.
 	headFrom time.Time
+	// lastByte is when the latest bytes of the current body came.
+	lastByte time.Time
 	// armed is the deadline of the connection; zero means none.
 	armed time.Time
 	// idle is true while no byte of the next request has come.
@@ -41,6 +44,9 @@
 	err error
 }
 
+// errBodyStalled means that no byte of a body came within Server.IdleTimeout.
+var errBodyStalled = errors.WithMessage(os.ErrDeadlineExceeded, "the body has stalled")
+
 // next prepares for the next request.
 func (sc *source) next() {
 	sc.phase = waiting
@@ -55,6 +61,12 @@
 	sc.limit(sc.headFrom.Add(sc.cn.server.IdleTimeout))
 }
 
+// beginBody notes that what follows belongs to a body.
+func (sc *source) beginBody() {
+	sc.phase = inBody
+	sc.lastByte = time.Now()
+}
+
 // Read implements io.Reader. It returns io.EOF if a head is too long.
 func (sc *source) Read(buffer []byte) (int, error) {
 	if sc.phase != inBody {
@@ -82,10 +94,17 @@
 	}
 	for {
 		count, err := sc.cn.netConn.Read(buffer)
-		if err == nil || count > 0 {
-			return count, nil
+		if sc.phase == inBody && count > 0 {
+			sc.lastByte = time.Now()
 		}
-		if !isTimeout(err) || !sc.rearm(time.Now()) {
+		switch {
+		case err == nil || count > 0:
+			return count, nil
+		case isTimeout(err) && sc.rearm(time.Now()):
+		case isTimeout(err) && sc.phase == inBody && !sc.cn.isDraining():
+			// The caller is still there and gets an answer.
+			return 0, errBodyStalled
+		default:
 			sc.err = err
 			return 0, err
 		}
@@ -111,13 +130,14 @@
 // rearm sets the next deadline after one has passed. It returns false if the caller took
 // too long.
 func (sc *source) rearm(now time.Time) bool {
-	end := now.Add(sc.cn.server.IdleTimeout)
+	var end time.Time
 	switch sc.phase {
 	case waiting:
 		end = sc.cn.idleEnd(now)
 	case inHead:
 		end = sc.headFrom.Add(sc.cn.server.HeaderTimeout)
 	case inBody:
+		end = sc.lastByte.Add(sc.cn.server.IdleTimeout)
 	}
 	if !end.After(now) || sc.cn.isDraining() {
 		return false
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -14,12 +14,14 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/fault"
@@ -213,13 +215,22 @@
 }
 
 // bodyReadError returns the error to answer with when the body of a request
-// could not be read. It is InvalidInput if err has no kind of its own.
+// could not be read. It is InvalidInput if err has no kind of its own and is no timeout.
 func bodyReadError(err error) *fault.Error {
 	known := fault.From(err)
-	if known.Kind == fault.Internal {
+	switch {
+	case known.Kind != fault.Internal:
+		return known
+	case isTimeout(err):
+		return fault.Wrap(fault.RequestTimeout, err, "read the request")
+	default:
 		return fault.Wrap(fault.InvalidInput, err, "read the request")
 	}
-	return known
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
 func bodyDigest(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
