Drop the request of keyed work once it has run

Cause: the owner kept the whole job, body included, beside the answer for the retention of the key. Retries need the answer and the fingerprint only, and the ledger of keys has the latter. Change: the job is dropped when its exchange with the upstream has ended.

--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -38,6 +38,7 @@
 // pendingJob is a job that waits for its result, or that ran and whose result is
 // kept to answer retries with the same idempotency key.
 type pendingJob struct {
+	// job is empty once the exchange with the upstream has ended.
 	job    Job
 	done   chan Result
 	ctx    context.Context
@@ -245,6 +246,7 @@
 		ended.Outcome = fault.Unknown
 	}
 	if work.Keyed() {
+		pending.job = Job{}
 		pending.result.Store(&result)
 		ow.post(ended)
 		return
