Refuse a body that is announced above the limit without reading it

Seen: a body announced above max-body was read up to the limit, kept meanwhile and refused only then. A caller that announced 200 MB took as much memory as one inside the limit, and one that sent nothing got no answer. Cause: the limit was checked on what had been read. Change: entry and owner check the announced length first. The answer, 413, closes the connection. An answer that closes the connection no longer waits for a part of the body that nobody reads. Evidence: without the change TestBodyAnnouncedAboveLimitIsNotRead doesn't end (test time-out of 10 s); with it packages proxy and pipe pass with -race.

--- a/pipe/answer.go
+++ b/pipe/answer.go
@@ -67,9 +67,7 @@
 	}
 	ex.begun = true
 	closes := ex.last || hasToken(ex.connection, "close")
-	if ex.content != nil && !ex.content.settle() {
-		closes = true
-	}
+	closes = !ex.settleBody() || closes
 	closes = ex.frame() || closes
 	announced := ex.cn.began(ex, closes)
 	writer := ex.cn.output()
--- a/pipe/body.go
+++ b/pipe/body.go
@@ -76,6 +76,14 @@
 	close(bd.done)
 }
 
+// leave leaves the rest of the body unread.
+func (bd *body) leave() {
+	bd.mu.Lock()
+	defer bd.mu.Unlock()
+	bd.closed = true
+	bd.end(false)
+}
+
 // settle discards what the handler has left, if that is not known to be more than
 // maxDiscard bytes. It reports whether the body has been read to its end, so that the
 // connection can be kept. The answer waits for this.
--- a/pipe/exchange.go
+++ b/pipe/exchange.go
@@ -88,9 +88,7 @@
 		ex.WriteHeader(http.StatusOK)
 	}
 	ex.finished = true
-	if ex.content != nil {
-		ex.content.settle()
-	}
+	ex.settleBody()
 	if !whole {
 		_ = ex.flushTurn()
 		ex.cn.abort(ex)
@@ -128,6 +126,19 @@
 	return ex.content.whole
 }
 
+// settleBody ends the reading of the request's body. It returns false if the connection
+// can't be kept. An answer that closes the connection doesn't wait for the rest of the body.
+func (ex *exchange) settleBody() bool {
+	if ex.content == nil {
+		return true
+	}
+	if hasToken(ex.connection, "close") {
+		ex.content.leave()
+		return false
+	}
+	return ex.content.settle()
+}
+
 // takeTurn lets the answer be written. It reports whether the answer has been produced.
 // The caller must hold the connection's mu.
 func (ex *exchange) takeTurn() bool {
--- a/proxy/body_test.go
+++ b/proxy/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -51,6 +52,19 @@
 	return response
 }
 
+// TestBodyAnnouncedAboveLimitIsNotRead guards against bodies that are kept up to the limit
+// before they are refused.
+func TestBodyAnnouncedAboveLimitIsNotRead(t *testing.T) {
+	for _, limit := range []int64{bodyLimit, 4} {
+		fx := newFixture(t)
+		fx.entry.SetMaxBody(limit)
+		cl := fx.connect(t, time.Minute)
+		cl.send(fmt.Sprintf("Content-Length: %d", limit+1), "")
+		cl.wantRefusal(fault.TooLarge)
+		cl.check.Equal(fx.upstream.TotalRuns(), 0)
+	}
+}
+
 // TestStalledBodyIsAnswered guards against a request whose body stops short and that never
 // gets an answer.
 func TestStalledBodyIsAnswered(t *testing.T) {
--- a/proxy/bounds.go
+++ b/proxy/bounds.go
@@ -83,7 +83,11 @@
 		return nil, err
 	}
 	if int64(len(text)) > limit {
-		return nil, fault.New(fault.TooLarge, "the body has more than %d bytes", limit)
+		return nil, errTooLarge(limit)
 	}
 	return text, nil
 }
+
+func errTooLarge(limit int64) *fault.Error {
+	return fault.New(fault.TooLarge, "the body has more than %d bytes", limit)
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -75,7 +75,7 @@
 // ServeHTTP implements http.Handler. It answers one request of a caller.
 func (en *Entry) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	start := en.now()
-	job, limit, err := en.readCall(request)
+	job, limit, err := en.readCall(writer, request)
 	if err != nil {
 		en.dialect().WriteFault(writer, job.Request, err)
 		return
@@ -102,7 +102,7 @@
 
 func (en *Entry) dialect() *Dialect { return &en.owner.dialect }
 
-func (en *Entry) readCall(request *http.Request) (Job, types.Option[time.Duration], *fault.Error) {
+func (en *Entry) readCall(writer http.ResponseWriter, request *http.Request) (Job, types.Option[time.Duration], *fault.Error) {
 	job := Job{EntryNode: en.self, Method: request.Method, URI: requestURI(request), Host: request.Host, Header: request.Header}
 	// Check Upgrade before stripHopHeaders removes it.
 	tunnelErr := refuseTunnel(request)
@@ -121,8 +121,10 @@
 	if job.Header.Get("User-Agent") == "" {
 		job.Header["User-Agent"] = []string{""}
 	}
-	body, readErr := readBody(request.Body, en.bodyLimit())
+	body, readErr := readRequestBody(request, en.bodyLimit())
 	if readErr != nil {
+		// What the caller still sends is not read.
+		writer.Header().Set("Connection", "close")
 		return job, metadata.Limit, bodyReadError(readErr)
 	}
 	job.Body = body
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -268,8 +268,9 @@
 		ow.writeResult(request.Context(), writer, types.RequestID(request.Header.Get(HeaderRequestID)), notRunResult(fault.From(err)))
 		return
 	}
-	job.Body, err = readBody(request.Body, ow.maxBody)
+	job.Body, err = readRequestBody(request, ow.maxBody)
 	if err != nil {
+		writer.Header().Set("Connection", "close")
 		ow.writeResult(request.Context(), writer, job.Request, notRunResult(bodyReadError(err)))
 		return
 	}
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -207,6 +207,15 @@
 	return header.Clone()
 }
 
+// readRequestBody reads the body of a request. If it has or announces more than limit
+// bytes, the error is of kind TooLarge. An announced one is not read.
+func readRequestBody(request *http.Request, limit int64) ([]byte, error) {
+	if request.ContentLength > limit {
+		return nil, errTooLarge(limit)
+	}
+	return readBody(request.Body, limit)
+}
+
 // readBody reads a body. If it has more than limit bytes, the error is of kind
 // TooLarge.
 func readBody(body io.Reader, limit int64) ([]byte, error) {
