Bound the sum of the request bodies that a process keeps

Seen: a node of 284 MB ended by memory under 32 bodies of 8 MB, 32 chunked bodies of 200 MB or 300 bodies of 0.9 MB that stop one byte short, and the calls of other clients ended with it. Cause: each body was bounded, by memory/16, and their sum was not. Entry and owner keep whole bodies, and io.ReadAll kept up to twice what had come. A body that stopped short kept its part until its caller closed. Change: package memory has one budget of bytes for all bodies that a process keeps, as entry and as owner. A body takes its part before its buffer grows, in steps that what has arrived pays for; the last step goes to the announced length. If there is no room, bodies that are still arriving and slow are given up, the slowest first: 408, the connection closes, and the read that is under way ends at once. If none is slow, the newcomer is refused at once: 503, kind overloaded, come back in 1 s. Neither has been posted, so that neither ever runs. A forwarded job without room is not-run, and its entry may try another owner. The owner of the entry's node shares the entry's part. A quarter of the budget is left to bodies up to 64 KiB. Nothing waits for room. The memory of a process was not measured here.

--- a/node/callers.go
+++ b/node/callers.go
@@ -66,6 +66,8 @@
 	// onRefused gets the first of a series of errors for which no connection could be
 	// accepted.
 	onRefused func(err error)
+	// onLate is called for each body that stops before its end.
+	onLate func()
 	// maxConns is the maximum number of open connections; 0 means no limit.
 	maxConns int
 }
@@ -97,6 +99,7 @@
 		MaxHeaderBytes: defaultHeaderBytes,
 		OnAhead:        func() { cl.settings.count(trace.CallsReadAhead) },
 		OnHold:         func() { cl.settings.count(trace.CallsHeldBehind) },
+		OnLate:         cl.settings.onLate,
 		OnClosed:       cl.connClosed,
 		OnPanic:        cl.settings.onPanic,
 	}
--- a/node/gauge.go
+++ b/node/gauge.go
@@ -41,6 +41,7 @@
 			return failures
 		})
 	}
+	nd.metrics.set.NewGauge("sequoiamill_body_bytes_held", func() float64 { return float64(nd.bodies.Held()) })
 	nd.metrics.set.NewGauge("sequoiamill_log_lines_dropped", func() float64 { return float64(nd.dropped()) })
 	nd.metrics.set.NewGauge("sequoiamill_config_late_nodes", func() float64 {
 		return float64(len(nd.view().LateNodes(nd.now())))
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/memory"
 	"sequoiamill.example/sequoiamill/peer"
 	"sequoiamill.example/sequoiamill/plat"
 	"sequoiamill.example/sequoiamill/proxy"
@@ -87,6 +88,8 @@
 	// the goroutine that maintains the node's record uses it.
 	unreadable types.Set[string]
 	answering  answering
+	bodies     *memory.Budget
+	bodySeries bodySeries
 	pulls      pulls
 	// pullSlots is a semaphore that holds one element for each configuration
 	// pull being served.
@@ -232,7 +235,8 @@
 	}
 	nd.collector = &http.Client{Transport: &http.Transport{DialContext: nd.peerDialer()}}
 	nd.peers = peer.NewClient(nd.clock, nd.now, peer.WithMeter(nd.metrics.countControlBytes), peer.WithInstance(nd.settings.Instance), peer.WithDialer(nd.peerDialer()))
-	ownerOptions := []proxy.OwnerOption{proxy.WithMaxBody(nd.settings.MaxBody), proxy.WithMetrics(nd.metrics.proxyMetrics())}
+	nd.bodies = nd.newBodyBudget()
+	ownerOptions := []proxy.OwnerOption{proxy.WithMaxBody(nd.settings.MaxBody), proxy.WithBudget(nd.bodies), proxy.WithMetrics(nd.metrics.proxyMetrics())}
 	nd.owner = proxy.NewOwner(nd.loop.post, nd.load, nd.now, append(ownerOptions, nd.ownerOptions...)...)
 	forward := proxy.NewForwarder(nd.now, nd.settings.MaxBody, proxy.WithDialer(nd.peerDialer()))
 	nd.entry = proxy.NewEntry(nd.settings.Instance, nd.loop.post, nd.owner, forward, nd.now)
--- a/node/run.go
+++ b/node/run.go
@@ -26,7 +26,7 @@
 	var group run.Group
 	server := newCallerServer(proxy.NewSmugglingGuard(nd.wrapTLS(nd.callerListener, Callers)), callerSettings{
 		handler: nd.answering.track(nd.entry), ahead: nd.mayRepeat, leaving: nd.stopping.Load, count: nd.metrics.count, onPanic: nd.logPanic,
-		onRefused: nd.recordShortage, maxConns: maxCallerConns(),
+		onRefused: nd.recordShortage, onLate: nd.onBodyLate, maxConns: maxCallerConns(),
 	})
 	nd.callerServer.Store(server)
 	group.Add(server.serve, func(error) { server.close(nd.closeContext()) })
--- a/node/settings.go
+++ b/node/settings.go
@@ -9,6 +9,7 @@
 package node
 
 import (
+	"fmt"
 	"net"
 	"strings"
 	"time"
@@ -17,6 +18,7 @@
 	"sequoiamill.example/sequoiamill/core"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/proxy"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -39,6 +41,9 @@
 	Peers []types.Address
 	// MaxBody is the maximum size of a request or response body in bytes.
 	MaxBody int64
+	// BodyMemory is the maximum total size in bytes of the request bodies that the node
+	// keeps at the same time. 0 selects proxy.DefaultBodyMemory.
+	BodyMemory int64
 	// StopLinger is the minimum time that a node keeps running after it has
 	// announced that it stops. During that time the node refuses work for its
 	// upstream, so that all peers stop sending work to the node before it exits.
@@ -93,6 +98,9 @@
 	if s.MaxBody <= 0 {
 		faults = append(faults, "max-body must be above 0")
 	}
+	if s.BodyMemory != 0 && s.BodyMemory < proxy.MinBodyMemory(s.MaxBody) {
+		faults = append(faults, fmt.Sprintf("body-memory must be 0 or at least %d, for one body of max-body bytes", proxy.MinBodyMemory(s.MaxBody)))
+	}
 	if s.StopLinger < 0 || s.StopLimit <= s.StopLinger {
 		faults = append(faults, "stop-limit must be above stop-linger, and that not below 0")
 	}
--- a/pipe/body.go
+++ b/pipe/body.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -98,3 +99,43 @@
 	bd.end(false)
 	return bd.whole
 }
+
+// bodyLeft notes that the rest of a request's body is not read, so that the connection
+// can't be kept. If the connection has ended, the caller is gone.
+func (cn *conn) bodyLeft() {
+	cn.mu.Lock()
+	cn.linger = true
+	cn.mu.Unlock()
+	if cn.source.err != nil {
+		cn.take(Event{Kind: Gone})
+	}
+}
+
+// beginBody notes that the body of a request is read next, or that none is if ex is nil.
+func (cn *conn) beginBody(ex *exchange) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.reading, cn.bodyEnd = ex, time.Time{}
+}
+
+// endBody sets when the reading of a request's body ends.
+func (cn *conn) endBody(ex *exchange, at time.Time) error {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if cn.reading != ex || cn.draining {
+		return nil
+	}
+	cn.bodyEnd = at
+	return errors.WithStack(cn.netConn.SetReadDeadline(at))
+}
+
+// bodyDeadline returns when the reading of the current body ends, at the latest at the
+// given time.
+func (cn *conn) bodyDeadline(latest time.Time) time.Time {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if !cn.bodyEnd.IsZero() && cn.bodyEnd.Before(latest) {
+		return cn.bodyEnd
+	}
+	return latest
+}
--- a/pipe/conn.go
+++ b/pipe/conn.go
@@ -48,7 +48,11 @@
 	ended, draining, linger bool
 	readerDone              bool
 	// started is true once the first byte of a request has come.
-	started   bool
+	started bool
+	// reading is the request that was read last, if it has a body. bodyEnd is when the
+	// reading of that body ends; zero means none.
+	reading   *exchange
+	bodyEnd   time.Time
 	idleSince time.Time
 }
 
@@ -379,14 +383,3 @@
 	closes = closes || cn.server.isStopping()
 	return cn.step(Event{Kind: Begun, ID: ex.id, Last: closes}, nil).announce
 }
-
-// bodyLeft notes that the rest of a request's body is not read, so that the connection
-// can't be kept. If the connection has ended, the caller is gone.
-func (cn *conn) bodyLeft() {
-	cn.mu.Lock()
-	cn.linger = true
-	cn.mu.Unlock()
-	if cn.source.err != nil {
-		cn.take(Event{Kind: Gone})
-	}
-}
--- a/pipe/exchange.go
+++ b/pipe/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -171,6 +172,10 @@
 	}
 }
 
+// SetReadDeadline sets when the reading of the request's body ends, for
+// http.ResponseController. It may be called at any time and by any goroutine.
+func (ex *exchange) SetReadDeadline(at time.Time) error { return ex.cn.endBody(ex, at) }
+
 // Header implements http.ResponseWriter.
 func (ex *exchange) Header() http.Header {
 	if ex.header == nil {
--- a/pipe/request.go
+++ b/pipe/request.go
@@ -182,6 +182,7 @@
 	if request.Body != http.NoBody {
 		ex.content = &body{inner: request.Body, ex: ex, expects: expects, length: request.ContentLength, done: make(chan struct{})}
 		request.Body = ex.content
+		cn.beginBody(ex)
 	}
 	ex.ahead = !expects && request.ProtoAtLeast(1, 1) && cn.server.ahead(request)
 	return ex
--- a/pipe/server.go
+++ b/pipe/server.go
@@ -52,6 +52,9 @@
 	// written, and OnHold for each that may not run yet. Both may be nil.
 	OnAhead func()
 	OnHold  func()
+	// OnLate is called for each body on which no byte came within IdleTimeout. It may be
+	// nil.
+	OnLate func()
 	// OnClosed is called when a connection is closed and its handlers have returned. It
 	// may be nil.
 	OnClosed func()
--- a/pipe/source.go
+++ b/pipe/source.go
@@ -44,12 +44,14 @@
 	err error
 }
 
-// errBodyStalled means that no byte of a body came within Server.IdleTimeout.
-var errBodyStalled = errors.WithMessage(os.ErrDeadlineExceeded, "the body has stalled")
+// errBodyLate means that no byte of a body came within Server.IdleTimeout, or that the
+// handler has ended the reading of the body.
+var errBodyLate = errors.WithMessage(os.ErrDeadlineExceeded, "the body is late")
 
 // next prepares for the next request.
 func (sc *source) next() {
 	sc.phase = waiting
+	sc.cn.beginBody(nil)
 	sc.left = int64(sc.cn.server.MaxHeaderBytes) + headSlop
 }
 
@@ -103,7 +105,10 @@
 		case isTimeout(err) && sc.rearm(time.Now()):
 		case isTimeout(err) && sc.phase == inBody && !sc.cn.isDraining():
 			// The caller is still there and gets an answer.
-			return 0, errBodyStalled
+			if time.Since(sc.lastByte) >= sc.cn.server.IdleTimeout {
+				sc.cn.server.count(sc.cn.server.OnLate)
+			}
+			return 0, errBodyLate
 		default:
 			sc.err = err
 			return 0, err
@@ -122,6 +127,9 @@
 	sc.armed = at
 	sc.cn.mu.Lock()
 	defer sc.cn.mu.Unlock()
+	if !sc.cn.bodyEnd.IsZero() && sc.cn.bodyEnd.Before(at) {
+		at = sc.cn.bodyEnd
+	}
 	if !sc.cn.draining {
 		_ = sc.cn.netConn.SetReadDeadline(at)
 	}
@@ -137,7 +145,7 @@
 	case inHead:
 		end = sc.headFrom.Add(sc.cn.server.HeaderTimeout)
 	case inBody:
-		end = sc.lastByte.Add(sc.cn.server.IdleTimeout)
+		end = sc.cn.bodyDeadline(sc.lastByte.Add(sc.cn.server.IdleTimeout))
 	}
 	if !end.After(now) || sc.cn.isDraining() {
 		return false
--- a/pipe/stall_test.go
+++ b/pipe/stall_test.go
@@ -77,3 +77,37 @@
 		check.Equal(response.StatusCode, http.StatusOK)
 	})
 }
+
+// TestHandlerEndsTheReadingOfABody checks that a deadline ends a read that is under way, and
+// that a deadline after the end of the body has no effect on the next request.
+func TestHandlerEndsTheReadingOfABody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		server := &pipe.Server{HeaderTimeout: time.Hour, IdleTimeout: time.Hour, MaxHeaderBytes: 4096}
+		server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			expire := func() { _ = http.NewResponseController(writer).SetReadDeadline(time.Unix(1, 0)) }
+			time.AfterFunc(time.Second, expire)
+			_, err := io.ReadAll(request.Body)
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				writer.WriteHeader(http.StatusRequestTimeout)
+			}
+			expire()
+		})
+		client, end := net.Pipe()
+		server.Serve(end)
+		reader := bufio.NewReader(client)
+		for _, sent := range []struct {
+			body   string
+			status int
+		}{{"body", http.StatusOK}, {"body", http.StatusOK}, {"bod", http.StatusRequestTimeout}} {
+			start := time.Now()
+			_, err := io.WriteString(client, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"+sent.body)
+			check.NoErr(err)
+			response, err := http.ReadResponse(reader, nil)
+			check.NoErr(err)
+			check.Equal(response.StatusCode, sent.status)
+			check.True(time.Since(start) <= time.Second)
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -80,6 +80,7 @@
 		en.dialect().WriteFault(writer, job.Request, err)
 		return
 	}
+	defer job.Room.Release()
 	id := types.CallID(en.nextID.Add(1))
 	pending := &pendingCall{job: job, done: make(chan callResult, 1), attempts: map[int]*pendingAttempt{}}
 	en.calls.put(id, pending)
@@ -121,13 +122,13 @@
 	if job.Header.Get("User-Agent") == "" {
 		job.Header["User-Agent"] = []string{""}
 	}
-	body, readErr := readRequestBody(request, en.bodyLimit())
+	content, readErr := en.owner.readRequestBody(writer, request, en.bodyLimit())
 	if readErr != nil {
 		// What the caller still sends is not read.
 		writer.Header().Set("Connection", "close")
 		return job, metadata.Limit, bodyReadError(readErr)
 	}
-	job.Body = body
+	job.Body, job.Room = content.text, content.room
 	job.Content = contentHash(job, metadata.Caller, en.teams.Load())
 	return job, metadata.Limit, nil
 }
@@ -210,6 +211,7 @@
 	if effect.HideCredential {
 		job.Header = withoutCredential(job.Header)
 	}
+	job.Room = job.Room.Share()
 	job.LastOwner = effect.LastOwner
 	job.KeyDeclinedBy = effect.KeyDeclinedBy
 	ctx, cancel := context.WithDeadline(context.Background(), effect.Deadline)
@@ -223,6 +225,7 @@
 }
 
 func (en *Entry) runAttempt(ctx context.Context, pending *pendingCall, effect flow.StartAttempt, job Job) {
+	defer job.Room.Release()
 	start := en.now()
 	var result Result
 	if effect.Target.Local {
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"sequoiamill.example/sequoiamill/admit"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/memory"
 	"sequoiamill.example/sequoiamill/route"
 	"sequoiamill.example/sequoiamill/types"
 )
@@ -30,6 +32,7 @@
 	closeDelimited bool
 	pacer          *Pacer
 	largeBodies    bodyGate
+	budget         *memory.Budget
 	localUpstream  atomic.Pointer[upstream]
 	nextID         atomic.Uint64
 	jobs           *lockedMap[types.WorkID, *pendingJob]
@@ -38,7 +41,10 @@
 // pendingJob is a job that waits for its result, or that ran and whose result is
 // kept to answer retries with the same idempotency key.
 type pendingJob struct {
-	// job is empty once the exchange with the upstream has ended.
+	keyed bool
+	mu    sync.Mutex
+	// job is guarded by mu. If it is keyed, it has a use of its room, and it is empty once
+	// it has run or is deleted.
 	job    Job
 	done   chan Result
 	ctx    context.Context
@@ -48,6 +54,26 @@
 	result atomic.Pointer[Result]
 }
 
+// useJob returns the job with a use of its room, which the caller must release.
+func (pj *pendingJob) useJob() Job {
+	pj.mu.Lock()
+	defer pj.mu.Unlock()
+	job := pj.job
+	job.Room = job.Room.Share()
+	return job
+}
+
+// dropJob drops a keyed job, of which only the result is needed from then on.
+func (pj *pendingJob) dropJob() {
+	if !pj.keyed {
+		return
+	}
+	pj.mu.Lock()
+	defer pj.mu.Unlock()
+	pj.job.Room.Release()
+	pj.job = Job{}
+}
+
 // complete delivers the result of the job. Only the first call has an effect.
 func (pj *pendingJob) complete(result Result) {
 	select {
@@ -73,9 +99,18 @@
 	for _, opt := range opts {
 		opt(ow)
 	}
+	if ow.budget == nil {
+		ow.budget = memory.NewBudget(DefaultBodyMemory(ow.maxBody))
+	}
 	return ow
 }
 
+// WithBudget sets the memory for the bodies of requests that callers and other nodes send.
+// The default has DefaultBodyMemory bytes.
+func WithBudget(budget *memory.Budget) OwnerOption {
+	return func(ow *Owner) { ow.budget = budget }
+}
+
 // WithDialect sets the header conventions used with callers and upstreams.
 func WithDialect(dialect Dialect) OwnerOption {
 	return func(ow *Owner) { ow.dialect = dialect }
@@ -114,9 +149,12 @@
 func (ow *Owner) Do(ctx context.Context, job Job) Result {
 	id := types.WorkID(ow.nextID.Add(1))
 	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), job.Deadline)
-	pending := &pendingJob{job: job, done: make(chan Result, 1), ctx: runCtx, cancel: cancel}
+	pending := &pendingJob{keyed: job.keyed(), job: job, done: make(chan Result, 1), ctx: runCtx, cancel: cancel}
+	if pending.keyed {
+		pending.job.Room = job.Room.Share()
+	}
 	ow.jobs.put(id, pending)
-	if !job.keyed() {
+	if !pending.keyed {
 		defer ow.deleteJob(id)
 	}
 	work := newWorkItem(id, job)
@@ -168,7 +206,7 @@
 	switch ef := effect.(type) {
 	case admit.Dispatch:
 		if pending, ok := ow.jobs.get(ef.Work.ID); ok {
-			go ow.dispatch(ef.Work, pending)
+			go ow.dispatch(ef.Work, pending, pending.useJob())
 		}
 	case admit.Refuse:
 		if pending, ok := ow.jobs.get(ef.Work.ID); ok {
@@ -215,12 +253,14 @@
 func (ow *Owner) deleteJob(id types.WorkID) {
 	if pending, ok := ow.jobs.remove(id); ok {
 		pending.cancel()
+		pending.dropJob()
 	}
 }
 
-func (ow *Owner) dispatch(work admit.WorkItem, pending *pendingJob) {
+// dispatch sends a job to the upstream and releases its use of the job's room.
+func (ow *Owner) dispatch(work admit.WorkItem, pending *pendingJob, job Job) {
+	defer job.Room.Release()
 	start := ow.now()
-	job := pending.job
 	job.Deadline = work.Deadline
 	ctx, cancel := context.WithDeadline(pending.ctx, work.Deadline)
 	defer cancel()
@@ -246,7 +286,7 @@
 		ended.Outcome = fault.Unknown
 	}
 	if work.Keyed() {
-		pending.job = Job{}
+		pending.dropJob()
 		pending.result.Store(&result)
 		ow.post(ended)
 		return
@@ -268,12 +308,14 @@
 		ow.writeResult(request.Context(), writer, types.RequestID(request.Header.Get(HeaderRequestID)), notRunResult(fault.From(err)))
 		return
 	}
-	job.Body, err = readRequestBody(request, ow.maxBody)
+	content, err := ow.readRequestBody(writer, request, ow.maxBody)
 	if err != nil {
 		writer.Header().Set("Connection", "close")
-		ow.writeResult(request.Context(), writer, job.Request, notRunResult(bodyReadError(err)))
+		ow.writeResult(request.Context(), writer, job.Request, ow.withLoad(notRunResult(forwardedBodyError(err))))
 		return
 	}
+	job.Body, job.Room = content.text, content.room
+	defer job.Room.Release()
 	result := ow.doWithHeartbeat(request.Context(), writer, job)
 	result.AtOwner = ow.now().Sub(start)
 	ow.writeResult(request.Context(), writer, job.Request, result)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -38,16 +38,18 @@
 	idempotent bool
 	echo       bool
 	keyed      atomic.Bool
+	// offset is how far the clock of the entry and the owner is ahead.
+	offset atomic.Int64
 
 	mu sync.Mutex
 	// accepted is the number of connections to the upstream so far.
 	accepted int
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T, opts ...proxy.OwnerOption) *fixture {
 	fx := &fixture{upstream: &fakes.Upstream{Name: "up"}}
-	fx.owner = proxy.NewOwner(fx.post, func() route.Load { return route.Load{} }, time.Now, proxy.WithMaxBody(bodyLimit))
-	fx.entry = proxy.NewEntry("a", fx.post, fx.owner, proxy.NewForwarder(time.Now, bodyLimit), time.Now)
+	fx.owner = proxy.NewOwner(fx.post, func() route.Load { return route.Load{} }, fx.now, append(opts, proxy.WithMaxBody(bodyLimit))...)
+	fx.entry = proxy.NewEntry("a", fx.post, fx.owner, proxy.NewForwarder(time.Now, bodyLimit), fx.now)
 	fx.server = httptest.NewUnstartedServer(fx.upstream)
 	fx.server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
@@ -62,6 +64,8 @@
 	return fx
 }
 
+func (fx *fixture) now() time.Time { return time.Now().Add(time.Duration(fx.offset.Load())) }
+
 func (fx *fixture) post(event types.Event) {
 	switch ev := event.(type) {
 	case flow.CallArrived:
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -14,17 +14,16 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 
 	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/memory"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -160,6 +159,8 @@
 	Host       string
 	Header     http.Header
 	Body       []byte
+	// Room is what Body takes of the node's budget. It is nil if there is no body.
+	Room *memory.Room
 	// LastOwner is true if the entry node will send the idempotency key to no
 	// other owner.
 	LastOwner bool
@@ -207,15 +208,6 @@
 	return header.Clone()
 }
 
-// readRequestBody reads the body of a request. If it has or announces more than limit
-// bytes, the error is of kind TooLarge. An announced one is not read.
-func readRequestBody(request *http.Request, limit int64) ([]byte, error) {
-	if request.ContentLength > limit {
-		return nil, errTooLarge(limit)
-	}
-	return readBody(request.Body, limit)
-}
-
 // readBody reads a body. If it has more than limit bytes, the error is of kind
 // TooLarge.
 func readBody(body io.Reader, limit int64) ([]byte, error) {
@@ -223,25 +215,6 @@
 	return checkBodySize(text, limit, err)
 }
 
-// bodyReadError returns the error to answer with when the body of a request
-// could not be read. It is InvalidInput if err has no kind of its own and is no timeout.
-func bodyReadError(err error) *fault.Error {
-	known := fault.From(err)
-	switch {
-	case known.Kind != fault.Internal:
-		return known
-	case isTimeout(err):
-		return fault.Wrap(fault.RequestTimeout, err, "read the request")
-	default:
-		return fault.Wrap(fault.InvalidInput, err, "read the request")
-	}
-}
-
-func isTimeout(err error) bool {
-	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
-}
-
 func bodyDigest(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
 
 func writeJobHeaders(header http.Header, job Job, now time.Time) {
--- a/trace/count.go
+++ b/trace/count.go
@@ -36,6 +36,12 @@
 	// their connection were written, CallsHeldBehind those that had to wait for that.
 	CallsReadAhead
 	CallsHeldBehind
+	// BodiesRefused counts the bodies of requests for which there was no memory,
+	// BodiesGivenUp those whose memory another one got because they arrived slowly, and
+	// BodiesLate those that stopped before their end.
+	BodiesRefused
+	BodiesGivenUp
+	BodiesLate
 	counterCount
 )
 
@@ -69,6 +75,9 @@
 	ControlBytesOut:     "control_bytes_out",
 	CallsReadAhead:      "calls_read_ahead",
 	CallsHeldBehind:     "calls_held_behind",
+	BodiesRefused:       "bodies_refused",
+	BodiesGivenUp:       "bodies_given_up",
+	BodiesLate:          "bodies_late",
 }
 
 // Counters returns every counter.
--- a/trace/event.go
+++ b/trace/event.go
@@ -63,6 +63,9 @@
 	PollingChanged
 	EntryUnreadable
 	CallersWait
+	BodyRefused
+	BodyGivenUp
+	BodyLate
 	kindCount
 )
 
@@ -109,6 +112,9 @@
 	PollingChanged:      "polling-changed",
 	EntryUnreadable:     "entry-unreadable",
 	CallersWait:         "callers-wait",
+	BodyRefused:         "bodies-refused",
+	BodyGivenUp:         "bodies-given-up",
+	BodyLate:            "bodies-late",
 }
 
 // String returns the kebab-case name of the kind, which the timeline shows.
--- a/verbs/node.go
+++ b/verbs/node.go
@@ -30,6 +30,7 @@
 	Advertise    string        `help:"Peer address that other nodes are given; by default the address of the peer listener."`
 	Peer         []string      `help:"Peer address of another node, through which to join while the platform is down; may be repeated."`
 	MaxBody      int64         `help:"Maximum size of a request or response body in bytes." default:"8388608"`
+	BodyMemory   int64         `help:"Maximum total size in bytes of the request bodies that are kept at the same time; 0 means 256 MiB, or 4 times max-body if that is more." default:"0"`
 	StopLinger   time.Duration `help:"Minimum time that a stopping node keeps running and refuses work, so that its peers stop sending work to it." default:"3s"`
 	StopLimit    time.Duration `help:"Maximum duration of a graceful stop." default:"30s"`
 	KeyMargin    time.Duration `help:"Maximum clock difference between callers and nodes that idempotency keys tolerate." default:"2s"`
@@ -61,6 +62,7 @@
 		AdminListen: types.Address(c.AdminListen),
 		Advertise:   types.Address(c.Advertise),
 		MaxBody:     c.MaxBody,
+		BodyMemory:  c.BodyMemory,
 		StopLinger:  c.StopLinger,
 		StopLimit:   c.StopLimit,
 		KeyLimits:   flow.KeyLimits{Margin: c.KeyMargin, Retention: c.KeyRetention},
