Bound the sum of the answers that an owner reads

Seen: the memory of a node grew with the number of calls to an upstream that sent bodies without end: 163 MB with 60 calls, 221 MB with 140. Cause: each call read up to 1 MiB before it waited for one of two places, and io.ReadAll kept up to twice that. Change: from 64 KiB on a call needs a unit of 1 MiB, from 1 MiB on also a place. The units come to half of the budget of request bodies, an eighth of the memory on the users' platform. What waits stays in its connection, until the call's deadline. A unit is taken once and before a place, so that what holds a place waits for nothing. The buffer grows in steps to the announced length and not beyond. The memory of a process was not measured here.

--- a/proxy/body.go
+++ b/proxy/body.go
@@ -23,6 +23,9 @@
 	bodyMemoryFactor  = 4
 	// bodyRetryAfter is when a request may come again for whose body there is no room.
 	bodyRetryAfter = time.Second
+	// answerPart is the part of the size of a budget that the answers may take that are
+	// being read.
+	answerPart = 2
 )
 
 // MinBodyMemory returns the least size of a budget that has room for a body of maxBody
@@ -54,7 +57,7 @@
 	}
 	controller := http.NewResponseController(writer)
 	room := ow.budget.Open(ow.now(), func() { _ = controller.SetReadDeadline(pastTime) })
-	reader := bodyReader{source: request.Body, length: request.ContentLength, limit: limit, room: room, now: ow.now}
+	reader := bodyReader{source: request.Body, length: request.ContentLength, limit: limit, first: firstBodyStep, room: room, now: ow.now}
 	text, err := reader.read()
 	if err != nil {
 		room.Release()
@@ -71,11 +74,39 @@
 	source io.Reader
 	// length is the announced length, or below 0 if there is none.
 	length, limit int64
-	room          *memory.Room
-	now           func() time.Time
+	// first is the size of the first buffer, if the body is not shorter.
+	first int64
+	// room is what the buffers take, or nil if they take no part of a budget. now is
+	// needed only with a room.
+	room *memory.Room
+	now  func() time.Time
+	// reserve is called with the size of each buffer before there is one. It may be nil.
+	reserve func(size int64) error
+}
+
+// readBody reads the body of an answer. If it has or announces more than limit bytes, the
+// error is of kind TooLarge.
+func readBody(response *http.Response, limit int64) ([]byte, error) {
+	reader := newAnswerReader(response, limit)
+	return reader.read()
+}
+
+func newAnswerReader(response *http.Response, limit int64) bodyReader {
+	reader := bodyReader{source: response.Body, length: response.ContentLength, limit: limit, first: firstBodyStep}
+	switch {
+	case response.Body == http.NoBody:
+		// The length is that of the answer to another method.
+		reader.length = 0
+	case response.ContentLength >= 0:
+		reader.first = freeBody
+	}
+	return reader
 }
 
 func (br *bodyReader) read() ([]byte, error) {
+	if br.length > br.limit {
+		return nil, errTooLarge(br.limit)
+	}
 	var text []byte
 	for {
 		var err error
@@ -95,7 +126,7 @@
 	switch {
 	case len(text) < cap(text):
 		count, err := br.source.Read(text[len(text):cap(text)])
-		if count > 0 {
+		if count > 0 && br.room != nil {
 			br.room.Arrived(count, br.now())
 		}
 		return text[:len(text)+count], err
@@ -109,7 +140,7 @@
 // grow returns a copy of a full buffer with more capacity. Both take room while it copies.
 func (br *bodyReader) grow(text []byte) ([]byte, error) {
 	size := br.nextSize(int64(cap(text)))
-	if err := br.room.Take(size, br.now()); err != nil {
+	if err := br.take(size); err != nil {
 		return text, err
 	}
 	grown := make([]byte, len(text), size)
@@ -118,10 +149,23 @@
 	return grown, nil
 }
 
+// take takes what a buffer of the given size needs.
+func (br *bodyReader) take(size int64) error {
+	if br.reserve != nil {
+		if err := br.reserve(size); err != nil {
+			return err
+		}
+	}
+	if br.room == nil {
+		return nil
+	}
+	return br.room.Take(size, br.now())
+}
+
 // nextSize returns the size of the buffer that follows one of the given size. The last step
 // goes to the greatest size, once a good part has arrived.
 func (br *bodyReader) nextSize(size int64) int64 {
-	next := max(bodyGrowth*size, firstBodyStep)
+	next := max(bodyGrowth*size, br.first)
 	if br.most() < bodyGrowth*next {
 		return br.most()
 	}
--- a/proxy/bounds.go
+++ b/proxy/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 
 	"sequoiamill.example/sequoiamill/fault"
 )
@@ -11,6 +12,8 @@
 	// maxResponseHead is the maximum size in bytes of the status line and headers
 	// of an upstream's or owner's answer.
 	maxResponseHead = 256 << 10
+	// freeBody is the size in bytes up to which an answer's body is read at any time.
+	freeBody = 64 << 10
 	// largeBody is the size in bytes above which an answer's body counts as large.
 	largeBody = 1 << 20
 	// maxLargeBodies is the number of large bodies that an owner reads at the same
@@ -53,39 +56,66 @@
 	return count, err
 }
 
-// bodyGate limits how many large bodies are read at the same time. The others are left
-// to wait in their connections, so that upstreams in trouble cannot fill the memory.
-type bodyGate chan struct{}
+// bodyGate limits the memory of the answers that are being read. Those for which there is
+// none are left to wait in their connections, so that upstreams in trouble cannot fill the
+// memory. A large body holds a unit besides its place, so that what holds a place waits for
+// nothing.
+type bodyGate struct {
+	// units has one element for each body above freeBody, and large one for each above
+	// largeBody.
+	units, large chan struct{}
+}
+
+// newBodyGate returns a gate for bodies up to largeBody that take size bytes together.
+func newBodyGate(size int64) bodyGate {
+	units := max(size/largeBody, 2*maxLargeBodies)
+	return bodyGate{units: make(chan struct{}, units), large: make(chan struct{}, maxLargeBodies)}
+}
+
+// read reads the body of an answer of at most limit bytes, like readBody. It waits for its
+// turn with what is above freeBody and above largeBody, until ctx ends.
+func (bg bodyGate) read(ctx context.Context, response *http.Response, limit int64) ([]byte, error) {
+	pass := gatePass{gate: bg}
+	defer pass.leave()
+	reader := newAnswerReader(response, limit)
+	reader.reserve = func(size int64) error { return pass.enter(ctx, size) }
+	return reader.read()
+}
 
-func newBodyGate() bodyGate { return make(bodyGate, maxLargeBodies) }
+// gatePass is what one body has of a gate.
+type gatePass struct {
+	gate              bodyGate
+	hasUnit, hasLarge bool
+}
 
-// read reads a body of at most limit bytes, like readBody. It waits for its turn with
-// the part of a body above largeBody, until ctx ends.
-func (bg bodyGate) read(ctx context.Context, body io.Reader, limit int64) ([]byte, error) {
-	head, err := io.ReadAll(io.LimitReader(body, min(largeBody, limit+1)))
-	if err != nil || int64(len(head)) < largeBody {
-		return checkBodySize(head, limit, err)
+// enter waits until the body may have the given size, or returns the cause of ctx.
+func (gp *gatePass) enter(ctx context.Context, size int64) error {
+	if size > freeBody && !gp.hasUnit {
+		select {
+		case gp.gate.units <- struct{}{}:
+			gp.hasUnit = true
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
 	}
-	select {
-	case bg <- struct{}{}:
-		defer func() { <-bg }()
-	case <-ctx.Done():
-		return nil, context.Cause(ctx)
+	if size > largeBody && !gp.hasLarge {
+		select {
+		case gp.gate.large <- struct{}{}:
+			gp.hasLarge = true
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
 	}
-	rest, err := io.ReadAll(io.LimitReader(body, limit+1-int64(len(head))))
-	return checkBodySize(append(head, rest...), limit, err)
+	return nil
 }
 
-// checkBodySize returns a body that was read, or an error of kind TooLarge if it has
-// more than limit bytes.
-func checkBodySize(text []byte, limit int64, err error) ([]byte, error) {
-	if err != nil {
-		return nil, err
+func (gp *gatePass) leave() {
+	if gp.hasLarge {
+		<-gp.gate.large
 	}
-	if int64(len(text)) > limit {
-		return nil, errTooLarge(limit)
+	if gp.hasUnit {
+		<-gp.gate.units
 	}
-	return text, nil
 }
 
 func errTooLarge(limit int64) *fault.Error {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -165,7 +165,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := ow.largeBodies.read(ctx, response.Body, ow.maxBody)
+		body, err := ow.answers.read(ctx, response, ow.maxBody)
 		_ = response.Body.Close()
 		if fault.Is(err, fault.TooLarge) {
 			err = fault.New(fault.BrokenAnswer, "the upstream's answer is above max-body, which is %d bytes", ow.maxBody)
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -31,7 +31,7 @@
 	// connection closes, are accepted.
 	closeDelimited bool
 	pacer          *Pacer
-	largeBodies    bodyGate
+	answers        bodyGate
 	budget         *memory.Budget
 	localUpstream  atomic.Pointer[upstream]
 	nextID         atomic.Uint64
@@ -94,7 +94,7 @@
 func NewOwner(post func(types.Event), load func() route.Load, now func() time.Time, opts ...OwnerOption) *Owner {
 	ow := &Owner{
 		post: post, load: load, now: now,
-		maxBody: defaultMaxBody, metrics: noMetrics(), dialect: DefaultDialect(), pacer: &Pacer{}, largeBodies: newBodyGate(), jobs: newLockedMap[types.WorkID, *pendingJob](),
+		maxBody: defaultMaxBody, metrics: noMetrics(), dialect: DefaultDialect(), pacer: &Pacer{}, jobs: newLockedMap[types.WorkID, *pendingJob](),
 	}
 	for _, opt := range opts {
 		opt(ow)
@@ -102,6 +102,7 @@
 	if ow.budget == nil {
 		ow.budget = memory.NewBudget(DefaultBodyMemory(ow.maxBody))
 	}
+	ow.answers = newBodyGate(ow.budget.Limit() / answerPart)
 	return ow
 }
 
--- a/proxy/result.go
+++ b/proxy/result.go
@@ -98,7 +98,7 @@
 }
 
 func readResult(response *http.Response, request types.RequestID, limit int64) (Result, error) {
-	body, err := readBody(response.Body, limit)
+	body, err := readBody(response, limit)
 	if err != nil {
 		return Result{}, err
 	}
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -13,7 +13,6 @@
 package proxy
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -208,13 +207,6 @@
 	return header.Clone()
 }
 
-// readBody reads a body. If it has more than limit bytes, the error is of kind
-// TooLarge.
-func readBody(body io.Reader, limit int64) ([]byte, error) {
-	text, err := io.ReadAll(io.LimitReader(body, limit+1))
-	return checkBodySize(text, limit, err)
-}
-
 func bodyDigest(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
 
 func writeJobHeaders(header http.Header, job Job, now time.Time) {
