--- a/pipe/server.go
+++ b/pipe/server.go
@@ -41,7 +41,9 @@
 	// Bounds are the bounds of each connection. The zero value selects DefaultBounds.
 	Bounds Bounds
 	// HeaderTimeout is the maximum duration of reading the head of a request, and
-	// IdleTimeout that of waiting for the next request. Both must be above 0.
+	// IdleTimeout that of waiting for the next request or for the next bytes of a body.
+	// Both must be above 0. Reading a body that has stalled fails with
+	// os.ErrDeadlineExceeded.
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 	// MaxHeaderBytes is the maximum size of a request's head in bytes.
@@ -50,6 +52,9 @@
 	// written, and OnHold for each that may not run yet. Both may be nil.
 	OnAhead func()
 	OnHold  func()
+	// OnLate is called for each body on which no byte came within IdleTimeout. It may be
+	// nil.
+	OnLate func()
 	// OnClosed is called when a connection is closed and its handlers have returned. It
 	// may be nil.
 	OnClosed func()
--- a/pipe/source.go
+++ b/pipe/source.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,6 +37,8 @@
 	phase phase
 	// headFrom is when the reading of the current head began.
 	headFrom time.Time
+	// lastByte is when the latest bytes of the current body came.
+	lastByte time.Time
 	// armed is the deadline of the connection; zero means none.
 	armed time.Time
 	// finalRead is true while an idle connection that stops is read once more, and
@@ -46,9 +49,14 @@
 	err error
 }
 
+// errBodyLate means that no byte of a body came within Server.IdleTimeout, or that the
+// handler has ended the reading of the body.
+var errBodyLate = errors.WithMessage(os.ErrDeadlineExceeded, "the body is late")
+
 // next prepares for the next request.
 func (sc *source) next() {
 	sc.phase, sc.finalRead = waiting, false
+	sc.cn.beginBody(nil)
 	sc.left = int64(sc.cn.server.MaxHeaderBytes) + headSlop
 }
 
@@ -60,6 +68,12 @@
 	sc.limit(sc.headFrom.Add(sc.cn.server.IdleTimeout))
 }
 
+// beginBody notes that what follows belongs to a body.
+func (sc *source) beginBody() {
+	sc.phase = inBody
+	sc.lastByte = time.Now()
+}
+
 // Read implements io.Reader. It returns io.EOF if a head is too long.
 func (sc *source) Read(buffer []byte) (int, error) {
 	if sc.phase != inBody {
@@ -90,10 +104,20 @@
 			sc.finalReadFrom = time.Now()
 		}
 		count, err := sc.cn.netConn.Read(buffer)
-		if err == nil || count > 0 {
-			return count, nil
+		if sc.phase == inBody && count > 0 {
+			sc.lastByte = time.Now()
 		}
-		if !isTimeout(err) || !sc.rearm(time.Now()) {
+		switch {
+		case err == nil || count > 0:
+			return count, nil
+		case isTimeout(err) && sc.rearm(time.Now()):
+		case isTimeout(err) && sc.phase == inBody && !sc.cn.isDraining():
+			// The caller is still there and gets an answer.
+			if time.Since(sc.lastByte) >= sc.cn.server.IdleTimeout {
+				sc.cn.server.count(sc.cn.server.OnLate)
+			}
+			return 0, errBodyLate
+		default:
 			sc.err = err
 			return 0, err
 		}
@@ -111,6 +135,9 @@
 	sc.armed = at
 	sc.cn.mu.Lock()
 	defer sc.cn.mu.Unlock()
+	if !sc.cn.bodyEnd.IsZero() && sc.cn.bodyEnd.Before(at) {
+		at = sc.cn.bodyEnd
+	}
 	if !sc.cn.draining {
 		_ = sc.cn.netConn.SetReadDeadline(at)
 	}
@@ -122,7 +149,7 @@
 	if sc.cn.isDraining() {
 		return false
 	}
-	end := now.Add(sc.cn.server.IdleTimeout)
+	var end time.Time
 	switch sc.phase {
 	case waiting:
 		if sc.cn.stopsWhenIdle() {
@@ -132,6 +159,7 @@
 	case inHead:
 		end = sc.headFrom.Add(sc.cn.server.HeaderTimeout)
 	case inBody:
+		end = sc.cn.bodyDeadline(sc.lastByte.Add(sc.cn.server.IdleTimeout))
 	}
 	if !end.After(now) {
 		return false
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -75,11 +75,12 @@
 // ServeHTTP implements http.Handler. It answers one request of a caller.
 func (en *Entry) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	start := en.now()
-	job, limit, err := en.readCall(request)
+	job, limit, err := en.readCall(writer, request)
 	if err != nil {
 		en.dialect().WriteFault(writer, job.Request, err)
 		return
 	}
+	defer job.Room.Release()
 	id := types.CallID(en.nextID.Add(1))
 	pending := &pendingCall{job: job, done: make(chan callResult, 1), attempts: map[int]*pendingAttempt{}}
 	en.calls.put(id, pending)
@@ -102,7 +103,7 @@
 
 func (en *Entry) dialect() *Dialect { return &en.owner.dialect }
 
-func (en *Entry) readCall(request *http.Request) (Job, types.Option[time.Duration], *fault.Error) {
+func (en *Entry) readCall(writer http.ResponseWriter, request *http.Request) (Job, types.Option[time.Duration], *fault.Error) {
 	job := Job{EntryNode: en.self, Method: request.Method, URI: requestURI(request), Host: request.Host, Header: request.Header}
 	// Check Upgrade before stripHopHeaders removes it.
 	tunnelErr := refuseTunnel(request)
@@ -121,11 +122,13 @@
 	if job.Header.Get("User-Agent") == "" {
 		job.Header["User-Agent"] = []string{""}
 	}
-	body, readErr := readBody(request.Body, en.bodyLimit())
+	content, readErr := en.owner.readRequestBody(writer, request, en.bodyLimit())
 	if readErr != nil {
+		// What the caller still sends is not read.
+		writer.Header().Set("Connection", "close")
 		return job, metadata.Limit, bodyReadError(readErr)
 	}
-	job.Body = body
+	job.Body, job.Room = content.text, content.room
 	job.Content = contentHash(job, metadata.Caller, en.teams.Load())
 	return job, metadata.Limit, nil
 }
@@ -208,6 +211,7 @@
 	if effect.HideCredential {
 		job.Header = withoutCredential(job.Header)
 	}
+	job.Room = job.Room.Share()
 	job.LastOwner = effect.LastOwner
 	job.KeyDeclinedBy = effect.KeyDeclinedBy
 	ctx, cancel := context.WithDeadline(context.Background(), effect.Deadline)
@@ -221,6 +225,7 @@
 }
 
 func (en *Entry) runAttempt(ctx context.Context, pending *pendingCall, effect flow.StartAttempt, job Job) {
+	defer job.Room.Release()
 	start := en.now()
 	var result Result
 	if effect.Target.Local {
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -13,7 +13,6 @@
 package proxy
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,6 +22,7 @@
 
 	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/memory"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -158,6 +158,8 @@
 	Host       string
 	Header     http.Header
 	Body       []byte
+	// Room is what Body takes of the node's budget. It is nil if there is no body.
+	Room *memory.Room
 	// LastOwner is true if the entry node will send the idempotency key to no
 	// other owner.
 	LastOwner bool
@@ -205,23 +207,6 @@
 	return header.Clone()
 }
 
-// readBody reads a body. If it has more than limit bytes, the error is of kind
-// TooLarge.
-func readBody(body io.Reader, limit int64) ([]byte, error) {
-	text, err := io.ReadAll(io.LimitReader(body, limit+1))
-	return checkBodySize(text, limit, err)
-}
-
-// bodyReadError returns the error to answer with when the body of a request
-// could not be read. It is InvalidInput if err has no kind of its own.
-func bodyReadError(err error) *fault.Error {
-	known := fault.From(err)
-	if known.Kind == fault.Internal {
-		return fault.Wrap(fault.InvalidInput, err, "read the request")
-	}
-	return known
-}
-
 func bodyDigest(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
 
 func writeJobHeaders(header http.Header, job Job, now time.Time) {
--- a/trace/event.go
+++ b/trace/event.go
@@ -65,6 +65,9 @@
 	CallersWait
 	NodePaused
 	WorkBrokenOff
+	BodyRefused
+	BodyGivenUp
+	BodyLate
 	kindCount
 )
 
@@ -113,6 +116,9 @@
 	CallersWait:         "callers-wait",
 	NodePaused:          "node-paused",
 	WorkBrokenOff:       "work-broken-off",
+	BodyRefused:         "bodies-refused",
+	BodyGivenUp:         "bodies-given-up",
+	BodyLate:            "bodies-late",
 }
 
 // String returns the kebab-case name of the kind, which the timeline shows.
