Let a caller that still sends read its refusal

A closed connection promises nothing; the 503 did. Cause: a connection that is closed while its caller may still send is read on for 500 ms. The end of its reader told the line of the connection that the caller had gone, which closed it a second time, at once. What the caller still sent then met a reset. Change: a connection that is being read on is not closed again. Evidence: TestCallerMaySendOnAfterARefusal fails without the change and passes with it, 5 times of 5 with -race.

--- a/pipe/conn.go
+++ b/pipe/conn.go
@@ -257,6 +257,9 @@
 func (cn *conn) close() {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
+	if cn.draining {
+		return
+	}
 	cn.ended = true
 	cn.wake()
 	if !cn.linger || cn.readerDone {
--- a/pipe/stall_test.go
+++ b/pipe/stall_test.go
@@ -111,3 +111,29 @@
 		}
 	})
 }
+
+// TestCallerMaySendOnAfterARefusal guards against a connection that is reset before its
+// caller, who still sends, has read the answer.
+func TestCallerMaySendOnAfterARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		server := &pipe.Server{HeaderTimeout: stallTimeout, IdleTimeout: stallTimeout, MaxHeaderBytes: 4096}
+		server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Connection", "close")
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		})
+		client, end := net.Pipe()
+		server.Serve(end)
+		_, err := io.WriteString(client, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n")
+		check.NoErr(err)
+		reader := bufio.NewReader(client)
+		response, err := http.ReadResponse(reader, nil)
+		check.NoErr(err)
+		check.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		synctest.Wait()
+		_, err = client.Write(make([]byte, 1_000_000))
+		check.NoErr(err)
+		_, err = reader.ReadByte()
+		check.Equal(err, io.EOF)
+	})
+}
