--- a/pipe/conn.go
+++ b/pipe/conn.go
@@ -283,6 +283,9 @@
 func (cn *conn) close() {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
+	if cn.draining {
+		return
+	}
 	cn.ended = true
 	cn.wake()
 	if !cn.linger || cn.readerDone {
