Discard what a refused caller still sends without guarding it

What is seen: 32 clients that send heads without end take a node of 96 MB to 100 MB (one run of TestHeadsWithoutEndDoNotExceedMemory), since a refused caller is read on for up to 500 ms.

Cause: what is discarded still went through the guard against requests with two ends, which keeps a line until its end, up to 2 MiB a connection.

Now the discarded bytes are read beneath the guard.

--- a/pipe/source.go
+++ b/pipe/source.go
@@ -211,10 +211,14 @@
 // drain discards what the caller still sends, until it closes the connection or the
 // deadline passes.
 func (sc *source) drain(until time.Time) {
-	_ = sc.cn.netConn.SetReadDeadline(until)
+	conn := sc.cn.netConn
+	if guarded, ok := conn.(interface{ Unguarded() net.Conn }); ok {
+		conn = guarded.Unguarded()
+	}
+	_ = conn.SetReadDeadline(until)
 	var buffer [1 << 10]byte
 	for sc.err == nil {
-		_, sc.err = sc.cn.netConn.Read(buffer[:])
+		_, sc.err = conn.Read(buffer[:])
 	}
 }
 
--- a/proxy/guard.go
+++ b/proxy/guard.go
@@ -91,6 +91,10 @@
 	return &state
 }
 
+// Unguarded returns the connection beneath the guard, to discard what comes: the guard
+// would keep a line until its end.
+func (gc *guardConn) Unguarded() net.Conn { return gc.Conn }
+
 // CloseWrite tells the peer that nothing more is sent.
 func (gc *guardConn) CloseWrite() error {
 	half, ok := gc.Conn.(interface{ CloseWrite() error })
