--- a/pipe/source.go
+++ b/pipe/source.go
@@ -100,13 +100,7 @@
 		sc.limit(sc.headFrom.Add(sc.cn.server.HeaderTimeout))
 	}
 	for {
-		if sc.finalRead {
-			sc.finalReadFrom = time.Now()
-		}
-		count, err := sc.cn.netConn.Read(buffer)
-		if sc.phase == inBody && count > 0 {
-			sc.lastByte = time.Now()
-		}
+		count, err := sc.readConn(buffer)
 		switch {
 		case err == nil || count > 0:
 			return count, nil
@@ -124,6 +118,18 @@
 	}
 }
 
+// readConn reads from the connection and notes when.
+func (sc *source) readConn(buffer []byte) (int, error) {
+	if sc.finalRead {
+		sc.finalReadFrom = time.Now()
+	}
+	count, err := sc.cn.netConn.Read(buffer)
+	if sc.phase == inBody && count > 0 {
+		sc.lastByte = time.Now()
+	}
+	return count, err
+}
+
 // limit moves the deadline of the connection forward to at, if it is later.
 func (sc *source) limit(at time.Time) {
 	if sc.armed.IsZero() || sc.armed.After(at) {
