--- a/pipe/pipe_test.go
+++ b/pipe/pipe_test.go
@@ -225,7 +225,9 @@
 
 func TestBrokenAnswer(t *testing.T) {
 	ts := newTestServer(t, pipe.Bounds{})
-	ts.send("GET /a", "GET /now/abort", "GET /c", "POST /d")
+	ts.send("GET /a", "GET /b/abort", "GET /c", "POST /d")
+	ts.waitFor(func() bool { return slices.Contains(ts.started, "/c") })
+	ts.release("/b/abort")
 	ts.waitFor(func() bool { return len(ts.canceled) == 1 })
 	ts.release("/a", "/d")
 	ts.is.Equal(ts.answer(), "200 GET /a")
