Begin a body of unknown length with a small buffer

Seen: BenchmarkCall allocated 41.5 kB a call in place of 39.1 since bodies are read in steps. Cause: an empty body whose length isn't stated got a buffer of 4 KiB. Change: such a body begins with 512 bytes, as with io.ReadAll before.

--- a/proxy/body.go
+++ b/proxy/body.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// firstBodyStep is the size in bytes of the buffer in which a body begins to arrive.
-	firstBodyStep = 4 << 10
+	// firstBodyStep is the size in bytes of the buffer in which the body of a request begins
+	// to arrive, and unknownBodyStep that for a body of unknown length.
+	firstBodyStep   = 4 << 10
+	unknownBodyStep = 512
 	// bodyGrowth is the factor by which a full buffer grows.
 	bodyGrowth = 2
 	// defaultBodyMemory and bodyMemoryFactor give the size of the budget of an owner that
@@ -58,6 +60,9 @@
 	controller := http.NewResponseController(writer)
 	room := ow.budget.Open(ow.now(), func() { _ = controller.SetReadDeadline(pastTime) })
 	reader := bodyReader{source: request.Body, length: request.ContentLength, limit: limit, first: firstBodyStep, room: room, now: ow.now}
+	if request.ContentLength < 0 {
+		reader.first = unknownBodyStep
+	}
 	text, err := reader.read()
 	if err != nil {
 		room.Release()
@@ -92,7 +97,7 @@
 }
 
 func newAnswerReader(response *http.Response, limit int64) bodyReader {
-	reader := bodyReader{source: response.Body, length: response.ContentLength, limit: limit, first: firstBodyStep}
+	reader := bodyReader{source: response.Body, length: response.ContentLength, limit: limit, first: unknownBodyStep}
 	switch {
 	case response.Body == http.NoBody:
 		// The length is that of the answer to another method.
