--- a/admit/queue.go
+++ b/admit/queue.go
@@ -37,9 +37,9 @@
 	return !w.Work.SoftDeadline.IsZero() && now.Add(w.ExpectedDuration).After(w.Work.SoftDeadline)
 }
 
-// latestStart returns the latest time at which the work may start and still end
+// latestStart returns the latest time at which the work can start and still end
 // by its soft deadline, or by its deadline if the soft deadline is missed or
-// not set.
+// not set. It is no later than the time before which the work must start.
 func (w QueueItem) latestStart(now time.Time) time.Time {
 	end := w.Work.Deadline
 	if !w.Work.SoftDeadline.IsZero() && !w.missesSoftDeadline(now) && w.Work.SoftDeadline.Before(end) {
@@ -85,7 +85,7 @@
 }
 
 // drain dispatches queued work to the free slots, as far as the rate limit allows. In
-// shedding mode it refuses work whose deadline has passed or that the discipline drops.
+// shedding mode it refuses work that must not start any more or that the discipline drops.
 func (ct *Controller) drain(now time.Time) []types.Effect {
 	var effects []types.Effect
 	for len(ct.queue) > 0 && ct.free() > 0 && ct.rate.wait(0, now) == 0 {
--- a/admit/work.go
+++ b/admit/work.go
@@ -47,8 +47,8 @@
 	RequireEcho bool
 	// Deadline is the time after which an answer is useless to the caller.
 	Deadline time.Time
-	// StartBy is the time from which on the work must not start, because its entry node
-	// may have given it up. Zero means that it may start until Deadline. Work that has
+	// StartBy is the time before which the work must start, because its entry node may
+	// have given it up then. Zero means that it may start until Deadline. Work that has
 	// started runs until Deadline.
 	StartBy time.Time
 	// SoftDeadline is the time after which an answer is worth less to the caller.
@@ -65,7 +65,7 @@
 	LinkWait time.Duration
 }
 
-// startBy returns the time from which on the work must not start.
+// startBy returns the time before which the work must start.
 func (w WorkItem) startBy() time.Time {
 	if w.StartBy.IsZero() {
 		return w.Deadline
