Do not take a reset beside an upload for the end of an answer

Callers got a part of an answer as the whole one: an upstream answered a long upload at once with 200 and no length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the body of a large request is written by a goroutine of its own while the answer is read. The system reports the failure of a connection once, to whichever of the two asks first. If the write got it, the read that followed saw an end like that after FIN, and an answer without a length is complete at such an end.

Now the reader of the connection asks the write at each end that it sees, stops it and takes its error. A reset is then a broken answer of unknown outcome. This holds for every form of answer, as it is the reader that tells an end from a failure. An upstream that ended its side in order before it reset makes the write fail with EPIPE, and one that goes on reading leaves it under way; both have given a whole answer, which TestEarlyWholeAnswerWithoutALengthIsDelivered shows.

--- a/proxy/bounds.go
+++ b/proxy/bounds.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 
+	"github.com/pkg/errors"
+
 	"sequoiamill.example/sequoiamill/fault"
 )
 
@@ -34,6 +36,9 @@
 	limited bool
 	// closed is true once the source has ended or failed.
 	closed bool
+	// checkEnd is called at the end of the source. It returns an error if the source has
+	// failed instead. It may be nil.
+	checkEnd func() error
 }
 
 // limit allows size further bytes.
@@ -53,6 +58,11 @@
 	count, err := hr.source.Read(buffer)
 	hr.left -= count
 	hr.closed = hr.closed || err != nil
+	if errors.Is(err, io.EOF) && hr.checkEnd != nil {
+		if failure := hr.checkEnd(); failure != nil {
+			return count, failure
+		}
+	}
 	return count, err
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"sequoiamill.example/sequoiamill/admit"
 	"sequoiamill.example/sequoiamill/fault"
@@ -58,6 +61,7 @@
 		_ = conn.Close()
 		return unknownOutcomeResult(fault.Wrap(fault.BrokenAnswer, causeOf(ctx, err), "write to the upstream")), true
 	}
+	conn.head.checkEnd = func() error { return pending.interrupt(conn) }
 	result, keep, err := ow.readResponse(ctx, up, conn, job, requireEcho)
 	if err != nil {
 		_ = conn.Close()
@@ -107,42 +111,63 @@
 type pendingWrite struct {
 	// written is the number of bytes written before writeRequest returned.
 	written int
-	// done receives the result of the concurrent write of a large body. It is nil
-	// if the body was written before writeRequest returned.
-	done chan error
+	// done is closed at the end of the concurrent write of a large body, whose error
+	// is then in err. It is nil if the body was written before writeRequest returned.
+	done chan struct{}
+	err  error
 }
 
-func writeRequest(conn io.Writer, head, body []byte) (pendingWrite, error) {
+func writeRequest(conn io.Writer, head, body []byte) (*pendingWrite, error) {
 	counting := &countingWriter{Writer: conn}
 	if len(body) <= maxInlineBody {
 		_, err := counting.Write(append(head, body...))
-		return pendingWrite{written: counting.written}, err
+		return &pendingWrite{written: counting.written}, err
 	}
 	_, err := counting.Write(head)
 	if err != nil {
-		return pendingWrite{written: counting.written}, err
+		return &pendingWrite{written: counting.written}, err
 	}
-	done := make(chan error, 1)
+	pw := &pendingWrite{written: counting.written, done: make(chan struct{})}
 	go func() {
-		_, err := conn.Write(body)
-		done <- err
+		defer close(pw.done)
+		_, pw.err = conn.Write(body)
 	}()
-	return pendingWrite{written: counting.written, done: done}, nil
+	return pw, nil
 }
 
 // finished reports whether the complete request was written without an error.
-func (pw pendingWrite) finished() bool {
+func (pw *pendingWrite) finished() bool {
 	if pw.done == nil {
 		return true
 	}
 	select {
-	case err := <-pw.done:
-		return err == nil
+	case <-pw.done:
+		return pw.err == nil
 	default:
 		return false
 	}
 }
 
+// interrupt stops the concurrent write when the connection has ended. It returns an error
+// if the connection has failed. The operating system reports a failure only once: if the
+// write got it, the reader sees an orderly end. If the connection is reset after an orderly
+// end, the write fails with EPIPE.
+func (pw *pendingWrite) interrupt(conn net.Conn) error {
+	if pw.done == nil {
+		return nil
+	}
+	_ = conn.SetWriteDeadline(pastTime)
+	<-pw.done
+	switch {
+	case pw.err == nil, errors.Is(pw.err, unix.EPIPE):
+		return nil
+	case errors.Is(pw.err, os.ErrDeadlineExceeded), errors.Is(pw.err, net.ErrClosed):
+		return nil
+	default:
+		return pw.err
+	}
+}
+
 // errMismatched means that none of the first maxMismatched responses on a
 // connection was the answer to the job.
 var errMismatched = errors.New("the upstream answers only other requests")
