Refuse answers with a status below 100, and interim ones that state a body

Callers got an answer that no upstream had given: an upstream in trouble answered with the status 000, and a body that looked like an answer was delivered, with its 200.

Cause: http.ReadResponse takes any three characters that make a number, so also 000, 001, 099, +12 and -00. The owner took each status below 200 for an interim response, which has no body, and read what followed as the next answer. An interim response that states a length or chunks went the same way.

The head is now checked before anything behind it is read. A malformed one is a broken answer of unknown outcome, and its connection is closed.

--- a/fakes/raw.go
+++ b/fakes/raw.go
@@ -54,11 +54,10 @@
 // Requests returns the number of requests that were answered.
 func (rs *RawServer) Requests() int64 { return rs.requests.Load() }
 
-// Closed returns the number of connections that have ended.
+// Closed returns the number of connections that have ended after an answer.
 func (rs *RawServer) Closed() int64 { return rs.closed.Load() }
 
 func (rs *RawServer) serve(conn *net.TCPConn) {
-	defer rs.closed.Add(1)
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	request, err := http.ReadRequest(reader)
@@ -66,6 +65,7 @@
 		return
 	}
 	rs.requests.Add(1)
+	defer rs.closed.Add(1)
 	_, _ = io.WriteString(conn, strings.Replace(rs.Answer, "%s", request.Header.Get("Sequoiamill-Request-Id"), 1))
 	time.Sleep(rs.Wait)
 	switch rs.Ending {
--- /dev/null
+++ b/proxy/broken_test.go
@@ -0,0 +1,88 @@
+package proxy_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sequoiamill.example/sequoiamill/fakes"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/flow"
+)
+
+// innerAnswer is a body that looks like an answer.
+const innerAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake"
+
+// withLength returns an answer with the given status and a body
+// of the stated length.
+func withLength(status, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+// checkBroken sends a request to an owner whose upstream gives an answer. It checks that
+// the outcome is unknown, that the request was sent once and that its connection is closed.
+func checkBroken(t *testing.T, answer string, ending fakes.Ending) {
+	t.Helper()
+	is := is.NewRelaxed(t)
+	server := &fakes.RawServer{Answer: answer, Ending: ending}
+	result := rawResult(t, server, 100)
+	if result.Verdict != flow.Lost {
+		t.Fatalf("the answer is %s: %d %q", result.Verdict, result.Response.Status, result.Response.Body)
+	}
+	is.Equal(result.Err.Kind, fault.BrokenAnswer)
+	is.Equal(result.Err.Outcome, fault.Unknown)
+	waitUntil(func() bool { return server.Closed() == 1 })
+	is.Equal(server.Requests(), int64(1))
+}
+
+// TestStatusBelow100IsNoAnswer guards against owners that deliver a malformed answer, or
+// its body as an answer.
+func TestStatusBelow100IsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000 Trouble", "000", "001 Trouble", "099 Trouble", "+12 Trouble", "-00 Trouble", "1000 Trouble", "20 Trouble", "0x8 Trouble"} {
+		for name, answer := range map[string]string{
+			"length":       withLength(status, "text"),
+			"empty":        withLength(status, "") + innerAnswer,
+			"no-length":    "HTTP/1.1 " + status + "\r\n\r\ntext",
+			"inner-answer": withLength(status, innerAnswer),
+			"inner-at-end": "HTTP/1.1 " + status + "\r\n\r\n" + innerAnswer,
+			"chunked":      "HTTP/1.1 " + status + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + innerAnswer,
+			"http-1.0":     "HTTP/1.0 " + status + "\r\n\r\n" + innerAnswer,
+		} {
+			t.Run(status+"/"+name, func(t *testing.T) { checkBroken(t, answer, fakes.FinishAndReadOn) })
+		}
+	}
+}
+
+// TestBodyOfAnInterimAnswerIsNoAnswer guards against owners that deliver the body of an
+// interim answer.
+func TestBodyOfAnInterimAnswerIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"100 Continue", "102 Processing", "199 Other"} {
+		t.Run(status, func(t *testing.T) {
+			checkBroken(t, withLength(status, innerAnswer), fakes.ReadOn)
+			checkBroken(t, "HTTP/1.1 "+status+"\r\nTransfer-Encoding: chunked\r\n\r\n"+innerAnswer, fakes.ReadOn)
+		})
+	}
+}
+
+// TestAnswersWithUnusualStatusAreDelivered checks that interim answers are passed over, and
+// that a status of three digits that HTTP doesn't define is left as it is.
+func TestAnswersWithUnusualStatusAreDelivered(t *testing.T) {
+	for before, status := range map[string]int{
+		"":                                     200,
+		"HTTP/1.1 100 Continue\r\n\r\n":        200,
+		"HTTP/1.1 103 Early\r\nX-A: b\r\n\r\n": 200,
+		"HTTP/1.1 102 Processing\r\nContent-Length: 0\r\n\r\n":    404,
+		"HTTP/1.1 100\r\n\r\n":                                    600,
+		"HTTP/1.1 199 Other\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n": 999,
+	} {
+		is := is.New(t)
+		answer := before + withLength(fmt.Sprint(status, " Text"), "the answer")
+		result := rawResult(t, &fakes.RawServer{Answer: answer}, 100)
+		is.Equal(result.Verdict, flow.Answered)
+		is.Equal(result.Response.Status, status)
+		is.Equal(string(result.Response.Body), "the answer")
+		is.True(!strings.Contains(fmt.Sprint(result.Response.Header), "X-A"))
+	}
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -17,6 +17,7 @@
 	"sequoiamill.example/sequoiamill/admit"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/heads"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -184,6 +185,9 @@
 		if err != nil {
 			return Result{}, 0, fault.Wrap(fault.BrokenAnswer, err, "wait for the upstream")
 		}
+		if err := heads.CheckResponse(response); err != nil {
+			return Result{}, 0, err
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return Result{}, 0, fault.New(fault.BrokenAnswer, "the upstream answered with the status %d", response.StatusCode)
 		}
