Do not believe answers of the platform whose status is below 200

A write to the platform counted as accepted although nothing had answered it: the status 000 or 099 in the answer to a PUT. So did the deletion that 101 answered, and a read with such a status was decoded and believed.

Cause: the same as in the owner. http.Transport passes on what http.ReadResponse takes, and the client looked only for a status from 300 on. The body of an interim response was taken for the answer, too.

The client of the platform now sends its requests through heads.Transport, which checks each response and interim response, closes the connection of a malformed one and returns an error. As for a connection that breaks off, a write may then have taken effect.

--- a/heads/response.go
+++ b/heads/heads.go
@@ -6,6 +6,8 @@
 //	if err == nil {
 //		err = heads.CheckResponse(response)
 //	}
+//
+//	client := &http.Client{Transport: heads.NewTransport(&http.Transport{})}
 package heads
 
 import (
@@ -28,6 +30,14 @@
 	}
 }
 
+// CheckFinal is CheckResponse for a response that must not be an interim one.
+func CheckFinal(response *http.Response) error {
+	if response.StatusCode < http.StatusOK {
+		return fault.New(fault.BrokenAnswer, "the response has the status %q", response.Status)
+	}
+	return CheckResponse(response)
+}
+
 func statesBody(response *http.Response) bool {
 	length := response.Header.Get("Content-Length")
 	return length != "" && length != "0" || len(response.TransferEncoding) > 0
--- /dev/null
+++ b/plat/broken_test.go
@@ -0,0 +1,85 @@
+package plat_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiamill.example/sequoiamill/fakes"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/plat"
+)
+
+const storedObject = `{"metadata":{"name":"a","resourceVersion":"7"},"data":"eA=="}`
+
+// withObject returns an answer of the platform with the given status and a stored object.
+func withObject(status string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(storedObject), storedObject)
+}
+
+func startRaw(t *testing.T, server *fakes.RawServer) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go server.Listen(listener)
+	return "http://" + listener.Addr().String()
+}
+
+// calls are the operations of a store that send one request, by its method.
+var calls = map[string]func(ctx context.Context, store *plat.Store, object plat.Object) error{
+	http.MethodPut: func(ctx context.Context, store *plat.Store, object plat.Object) error {
+		_, err := store.Put(ctx, object)
+		return err
+	},
+	http.MethodPost: func(ctx context.Context, store *plat.Store, object plat.Object) error {
+		object.Revision = ""
+		_, err := store.Put(ctx, object)
+		return err
+	},
+	http.MethodDelete: func(ctx context.Context, store *plat.Store, object plat.Object) error {
+		return store.Delete(ctx, object)
+	},
+	http.MethodGet: func(ctx context.Context, store *plat.Store, object plat.Object) error {
+		_, err := store.Get(ctx, object.Name)
+		return err
+	},
+}
+
+// checkNotBelieved checks that a call which gets an answer fails, and that a write may then
+// have taken effect.
+func checkNotBelieved(t *testing.T, method string, server *fakes.RawServer, object plat.Object) {
+	t.Helper()
+	is := is.NewRelaxed(t)
+	store := plat.NewHTTPStore(startRaw(t, server), plat.WithTimeout(time.Minute))
+	err := calls[method](t.Context(), store, object)
+	if err == nil {
+		t.Fatal("the answer is believed")
+	}
+	is.True(fault.Is(err, fault.PlatformUnavailable))
+	is.Equal(fault.From(err).Outcome == fault.Unknown, method != http.MethodGet)
+	is.Equal(server.Requests(), int64(1))
+}
+
+// TestStatusOfNoAnswerIsNotBelieved guards against writes that count as accepted although
+// the platform has not answered.
+func TestStatusOfNoAnswerIsNotBelieved(t *testing.T) {
+	object := plat.Object{Name: plat.RootName, Revision: plat.Era(0).Revision("6")}
+	for method := range calls {
+		for _, status := range []string{"000 Trouble", "099 Trouble", "+12 Trouble", "101 Switching Protocols"} {
+			t.Run(method+"/"+status, func(t *testing.T) {
+				checkNotBelieved(t, method, &fakes.RawServer{Answer: withObject(status), Ending: fakes.FinishAndReadOn}, object)
+			})
+		}
+		t.Run(method+"/interim", func(t *testing.T) {
+			answer := fmt.Sprintf("HTTP/1.1 100 Continue\r\nContent-Length: %d\r\n\r\n%s", len(withObject("200 OK")), withObject("200 OK"))
+			checkNotBelieved(t, method, &fakes.RawServer{Answer: answer}, object)
+		})
+	}
+}
--- a/plat/http.go
+++ b/plat/http.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/heads"
 )
 
 const (
@@ -69,7 +70,9 @@
 		base:    base,
 		timeout: defaultTimeout,
 		era:     eraClock{header: EraHeader},
-		http:    &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxReplyHead}},
+		http: &http.Client{Transport: heads.NewTransport(&http.Transport{
+			DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxReplyHead,
+		})},
 	}
 }
 
