Refuse a status of another node that no answer can have

An entry node delivered what another node stated, also the status 1000 or 70000, which is no status of HTTP. It also took a reply whose own status was 000 or 099, and the body of an interim reply.

Cause: as with the answers of upstreams and of the platform; the status that a reply states had a lower bound only.

A reply whose head is malformed is now refused before it is read, and a stated status has three digits, from 200 on. The attempt's outcome is then unknown, its connection is closed, and the error is of kind broken-answer, so that the owner doesn't count as unreachable.

--- a/proxy/broken_test.go
+++ b/proxy/broken_test.go
@@ -1,15 +1,21 @@
 package proxy_test
 
 import (
+	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
+	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/fakes"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/proxy"
 )
 
 // innerAnswer is a body that looks like an answer.
@@ -55,6 +61,53 @@
 	}
 }
 
+// ownerReply returns a node's reply to the job "r", with the status line that the node sends
+// and the status that it states of the upstream's answer.
+func ownerReply(line, status string) string {
+	const body = "the answer"
+	return fmt.Sprintf("HTTP/1.1 %s\r\nSequoiamill-Request-Id: r\r\nSequoiamill-Verdict: answered\r\nSequoiamill-Status: %s\r\n"+
+		"Sequoiamill-Digest: %x\r\nContent-Length: %d\r\n\r\n%s", line, status, xxhash.Sum64String(body), len(body), body)
+}
+
+// forwardTo returns the result of a job that is forwarded to a node.
+func forwardTo(t *testing.T, server *fakes.RawServer) proxy.Result {
+	job := proxy.Job{Request: "r", Method: http.MethodPost, URI: "/", Body: []byte("ask"), Route: conf.Route{Service: "intake"}, Deadline: time.Now().Add(time.Minute)}
+	return proxy.NewForwarder(time.Now, bodyLimit).Do(context.Background(), startRaw(t, server), job)
+}
+
+// TestStatusOfAnotherNodeHasThreeDigits guards against entry nodes that deliver a status
+// which no upstream can have given.
+func TestStatusOfAnotherNodeHasThreeDigits(t *testing.T) {
+	for name, reply := range map[string]string{
+		"1000":    ownerReply("200 OK", "1000"),
+		"70000":   ownerReply("200 OK", "70000"),
+		"199":     ownerReply("200 OK", "199"),
+		"000":     ownerReply("200 OK", "000"),
+		"own-000": ownerReply("000 Trouble", "200"),
+		"own-099": ownerReply("099 Trouble", "200"),
+		"own-101": ownerReply("101 Switching Protocols", "200"),
+		"interim": withLength("102 Processing", ownerReply("200 OK", "200")),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.NewRelaxed(t)
+			server := &fakes.RawServer{Answer: reply}
+			result := forwardTo(t, server)
+			if result.Verdict != flow.Lost {
+				t.Fatalf("the reply is %s: %d %q", result.Verdict, result.Response.Status, result.Response.Body)
+			}
+			is.Equal(result.Err.Kind, fault.BrokenAnswer)
+			waitUntil(func() bool { return server.Closed() == 1 })
+			is.Equal(server.Requests(), int64(1))
+		})
+	}
+	for _, status := range []string{"200", "999"} {
+		is := is.New(t)
+		result := forwardTo(t, &fakes.RawServer{Answer: ownerReply("200 OK", status)})
+		is.Equal(result.Verdict, flow.Answered)
+		is.Equal(fmt.Sprint(result.Response.Status), status)
+	}
+}
+
 // TestBodyOfAnInterimAnswerIsNoAnswer guards against owners that deliver the body of an
 // interim answer.
 func TestBodyOfAnInterimAnswerIsNoAnswer(t *testing.T) {
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -12,6 +12,7 @@
 
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/heads"
 	"sequoiamill.example/sequoiamill/types"
 )
 
@@ -92,10 +93,17 @@
 	if err != nil && !used.sent() {
 		return Result{Verdict: flow.Unsent, Err: fault.Wrap(fault.Unreachable, err, "connect to the owner")}
 	}
+	if fault.Is(err, fault.BrokenAnswer) {
+		return unknownOutcomeResult(fault.From(err))
+	}
 	if err != nil {
 		return unknownOutcomeResult(fault.Wrap(fault.Unreachable, causeOf(ctx, err), "wait for the owner"))
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := heads.CheckFinal(response); err != nil {
+		used.close()
+		return unknownOutcomeResult(fault.From(err))
+	}
 	response.Body = watchedBody{Reader: wd.reader(response.Body), Closer: response.Body}
 	if isCompact {
 		expand(response.Header)
--- a/proxy/heartbeat.go
+++ b/proxy/heartbeat.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"sequoiamill.example/sequoiamill/heads"
 )
 
 const (
@@ -77,9 +79,9 @@
 	wd.timer = time.AfterFunc(limit, func() { cancel(errInactive) })
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteRequest: func(httptrace.WroteRequestInfo) { wd.reset() },
-		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
 			wd.reset()
-			return nil
+			return heads.CheckResponse(&http.Response{StatusCode: status, Header: http.Header(header)})
 		},
 	})
 	return wd, ctx, func() {
--- a/proxy/result.go
+++ b/proxy/result.go
@@ -13,6 +13,9 @@
 	"sequoiamill.example/sequoiamill/types"
 )
 
+// maxStatus is the greatest status of three digits.
+const maxStatus = 999
+
 // Result is the result of a job at its owner.
 type Result struct {
 	Verdict flow.Verdict
@@ -115,7 +118,7 @@
 	switch header.Get(headerVerdict) {
 	case flow.Answered.String():
 		status, err := strconv.Atoi(header.Get(headerStatus))
-		if err != nil || status < http.StatusOK {
+		if err != nil || status < http.StatusOK || status > maxStatus {
 			return Result{}, fault.New(fault.BrokenAnswer, "the answer's status is %q", header.Get(headerStatus))
 		}
 		result.Verdict = flow.Answered
