Refuse answers in whose head the name of a field is no token

Callers got an answer with a malformed line, or with a body that was not the upstream's: "Transfer-Encoding : chunked" came through with the chunks' own bytes as the body, "Content-Length : 40" before 4 bytes as a whole answer, and "Content-Length : 4" before 8 bytes with all 8.

Cause: net/http accepts blanks in the name of a field. It keeps such a field under the name that it has, so that one which states the end of the body is not found, and the body ends elsewhere. The requests of callers were checked for such names; answers were not, neither those of upstreams nor those of the platform and of other nodes.

The rule for the names in requests is now that for heads and trailers of answers, too, in package heads. The clients of peers, of timelines, of the command line and of the load tool send through heads.Transport, as the client of the platform does. Trailers of the platform's and of nodes' answers are not checked: nothing reads them.

--- a/bench/caller.go
+++ b/bench/caller.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/heads"
 	"sequoiamill.example/sequoiamill/proxy"
 )
 
@@ -95,7 +96,7 @@
 func newCaller(load Load, entries []string, deadline time.Duration) *caller {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true}
 	return &caller{
-		client:   &http.Client{Transport: transport},
+		client:   &http.Client{Transport: heads.NewTransport(transport)},
 		load:     load,
 		entries:  entries,
 		deadline: deadline,
--- a/fakes/raw.go
+++ b/fakes/raw.go
@@ -33,6 +33,8 @@
 type RawServer struct {
 	// Answer is what the server sends. The request identifier replaces %s.
 	Answer string
+	// First is sent in place of Answer to the first request, unless it is empty.
+	First string
 	// Ending says how the server ends the connection, and Wait how long after the answer.
 	Ending Ending
 	Wait   time.Duration
@@ -64,9 +66,12 @@
 	if err != nil {
 		return
 	}
-	rs.requests.Add(1)
+	answer := rs.Answer
+	if rs.requests.Add(1) == 1 && rs.First != "" {
+		answer = rs.First
+	}
 	defer rs.closed.Add(1)
-	_, _ = io.WriteString(conn, strings.Replace(rs.Answer, "%s", request.Header.Get("Sequoiamill-Request-Id"), 1))
+	_, _ = io.WriteString(conn, strings.Replace(answer, "%s", request.Header.Get("Sequoiamill-Request-Id"), 1))
 	time.Sleep(rs.Wait)
 	switch rs.Ending {
 	case ResetAtOnce:
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/flow"
+	"sequoiamill.example/sequoiamill/heads"
 	"sequoiamill.example/sequoiamill/memory"
 	"sequoiamill.example/sequoiamill/peer"
 	"sequoiamill.example/sequoiamill/plat"
@@ -233,7 +234,7 @@
 		state: core.New(self, coreOptions...), now: nd.now, run: nd.runEffect,
 		suspended: func() time.Duration { return detector.sinceLast(nd.now(), bootTime()) },
 	}
-	nd.collector = &http.Client{Transport: &http.Transport{DialContext: nd.peerDialer()}}
+	nd.collector = &http.Client{Transport: heads.NewTransport(&http.Transport{DialContext: nd.peerDialer()})}
 	nd.peers = peer.NewClient(nd.clock, nd.now, peer.WithMeter(nd.metrics.countControlBytes), peer.WithInstance(nd.settings.Instance), peer.WithDialer(nd.peerDialer()))
 	nd.bodies = nd.newBodyBudget()
 	ownerOptions := []proxy.OwnerOption{proxy.WithMaxBody(nd.settings.MaxBody), proxy.WithBudget(nd.bodies), proxy.WithMetrics(nd.metrics.proxyMetrics())}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -22,6 +22,7 @@
 	"sequoiamill.example/sequoiamill/codec"
 	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/fleet"
+	"sequoiamill.example/sequoiamill/heads"
 	"sequoiamill.example/sequoiamill/quota"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
@@ -142,12 +143,12 @@
 	if cl.meter != nil {
 		cl.dialer = cl.meter.dialer(cl.dialer)
 	}
-	cl.http = &http.Client{Transport: &http.Transport{
+	cl.http = &http.Client{Transport: heads.NewTransport(&http.Transport{
 		DialContext:        cl.dialer,
 		MaxIdleConns:       idleConnections,
 		IdleConnTimeout:    idleTimeout,
 		DisableCompression: true,
-	}}
+	})}
 	return cl
 }
 
--- a/pipe/request.go
+++ b/pipe/request.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"sequoiamill.example/sequoiamill/heads"
 )
 
 // refusal is an answer that is given without a handler, and after which the connection
@@ -124,10 +126,8 @@
 // characters.
 func validHeader(header http.Header) bool {
 	for name, values := range header {
-		for i := range len(name) {
-			if !tokenChars[name[i]] {
-				return false
-			}
+		if !heads.IsToken(name) {
+			return false
 		}
 		for _, value := range values {
 			if strings.IndexFunc(value, isControl) >= 0 {
@@ -140,22 +140,8 @@
 
 func isControl(char rune) bool { return char < ' ' && char != '\t' || char == 0x7f }
 
-// tokenChars has the characters of a token of HTTP.
-var tokenChars = charSet("!#$%&'*+-.^_`|~")
-
 // hostChars has the characters of a host and port.
-var hostChars = charSet("!$%&'()*+,-.:;=[]_~")
-
-// charSet returns the set of the letters, the digits and the further characters.
-func charSet(further string) [256]bool {
-	var set [256]bool
-	for char := range len(set) {
-		digit := char >= '0' && char <= '9'
-		letter := char >= 'a' && char <= 'z' || char >= 'A' && char <= 'Z'
-		set[char] = digit || letter || strings.IndexByte(further, byte(char)) >= 0
-	}
-	return set
-}
+var hostChars = heads.Chars("!$%&'()*+,-.:;=[]_~")
 
 // refuse returns an exchange whose answer is ready. What lies behind it is not read.
 func (cn *conn) refuse(refused refusal) *exchange {
--- a/plat/broken_test.go
+++ b/plat/broken_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -83,3 +84,44 @@
 		})
 	}
 }
+
+// TestFieldNameThatIsNoTokenIsNotBelieved guards against a client that believes an answer in
+// whose head the name of a field has a blank, or takes its chunks for the body.
+func TestFieldNameThatIsNoTokenIsNotBelieved(t *testing.T) {
+	object := plat.Object{Name: plat.RootName, Revision: plat.Era(0).Revision("6")}
+	chunked := fmt.Sprintf("Transfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(storedObject), storedObject)
+	for method := range calls {
+		for name, answer := range map[string]string{
+			"head":    strings.Replace(withObject("200 OK"), "\r\n", "\r\nX Y: z\r\n", 1),
+			"length":  strings.Replace(withObject("200 OK"), "Content-Length", "Content-Length ", 1),
+			"chunked": "HTTP/1.1 200 OK\r\n" + chunked,
+			"interim": "HTTP/1.1 103 Early\r\nX Y: z\r\n\r\n" + withObject("200 OK"),
+		} {
+			t.Run(method+"/"+name, func(t *testing.T) {
+				checkNotBelieved(t, method, &fakes.RawServer{Answer: answer, Ending: fakes.FinishAndReadOn}, object)
+			})
+		}
+	}
+}
+
+// TestWatchWithAMalformedHeadIsNotBelieved guards against a client that takes the events of a
+// watch whose answer is malformed.
+func TestWatchWithAMalformedHeadIsNotBelieved(t *testing.T) {
+	const event = `{"type":"MODIFIED","object":{"metadata":{"name":"root","resourceVersion":"8"}}}`
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nX Y: z\r\n\r\n", "HTTP/1.1 000 Trouble\r\n\r\n", "HTTP/1.1 100 Continue\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"} {
+		is := is.New(t)
+		server := &fakes.RawServer{First: withObject("200 OK"), Answer: head + event, Ending: fakes.FinishAndReadOn}
+		store := plat.NewHTTPStore(startRaw(t, server), plat.WithTimeout(time.Minute))
+		var seen []plat.Revision
+		ctx, cancel := context.WithCancel(t.Context())
+		err := store.Watch(ctx, plat.RootName, func(object plat.Object) {
+			seen = append(seen, object.Revision)
+			if len(seen) > 1 {
+				cancel()
+			}
+		})
+		cancel()
+		is.True(fault.Is(err, fault.PlatformUnavailable))
+		is.Equal(seen, []plat.Revision{plat.Era(0).Revision("7")})
+	}
+}
--- a/proxy/broken_test.go
+++ b/proxy/broken_test.go
@@ -139,3 +139,74 @@
 		is.True(!strings.Contains(fmt.Sprint(result.Response.Header), "X-A"))
 	}
 }
+
+// fieldPlaces are answers with a further field, by its place.
+var fieldPlaces = map[string]string{
+	"head":           "HTTP/1.1 200 OK\r\nX-A: b\r\n<field>\r\nContent-Length: 4\r\n\r\ntext",
+	"head-no-length": "HTTP/1.1 200 OK\r\nX-A: b\r\n<field>\r\n\r\ntext",
+	"interim":        "HTTP/1.1 103 Early\r\nX-A: b\r\n<field>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext",
+	"trailer":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\nX-A: b\r\n<field>\r\n\r\n",
+}
+
+// TestFieldNameThatIsNoTokenIsNoAnswer guards against owners that deliver an answer in whose
+// head the name of a field has a blank or a control character.
+func TestFieldNameThatIsNoTokenIsNoAnswer(t *testing.T) {
+	for _, field := range []string{
+		"X Y: z", "X : z", "X  : z", "X Y : z", "X\t: z", "X\tY: z", "X\x00: z", "\x01X: z", "X\x0b: z", "X\x7f: z", "X\x80: z",
+		"X(: z", "X\r: z", ": z", "X: \x00", "X: a\x01b", "X: a\rb", "X",
+	} {
+		for place, answer := range fieldPlaces {
+			t.Run(fmt.Sprintf("%q/%s", field, place), func(t *testing.T) {
+				checkBroken(t, strings.Replace(answer, "<field>", field, 1), fakes.FinishAndReadOn)
+			})
+		}
+	}
+}
+
+// TestFieldNameOfAnotherNodeIsAToken guards against entry nodes that take a reply in whose head
+// the name of a field has a blank.
+func TestFieldNameOfAnotherNodeIsAToken(t *testing.T) {
+	is := is.New(t)
+	for _, reply := range []string{
+		strings.Replace(ownerReply("200 OK", "200"), "\r\n", "\r\nX Y: z\r\n", 1),
+		strings.Replace(ownerReply("200 OK", "200"), "Content-Length", "Content-Length ", 1),
+		"HTTP/1.1 102 Processing\r\nX Y: z\r\n\r\n" + ownerReply("200 OK", "200"),
+	} {
+		server := &fakes.RawServer{Answer: reply, Ending: fakes.FinishAndReadOn}
+		result := forwardTo(t, server)
+		is.Equal(result.Verdict, flow.Lost)
+		is.Equal(result.Err.Kind, fault.BrokenAnswer)
+		waitUntil(func() bool { return server.Closed() == 1 })
+	}
+}
+
+// TestFramingBesideABlankIsNoAnswer guards against owners that take the wrong end of a body
+// whose length or encoding has a malformed name.
+func TestFramingBesideABlankIsNoAnswer(t *testing.T) {
+	for name, answer := range map[string]string{
+		"chunked":             "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n",
+		"chunked-with-length": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 14\r\n\r\n4\r\ntext\r\n0\r\n\r\n",
+		"chunked-1.0":         "HTTP/1.0 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n",
+		"length-too-great":    "HTTP/1.1 200 OK\r\nContent-Length : 40\r\n\r\ntext",
+		"length-too-small":    "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\ntextmore",
+		"two-lengths":         "HTTP/1.1 200 OK\r\nContent-Length : 4\r\nContent-Length: 8\r\n\r\ntextmore",
+		"interim-length":      "HTTP/1.1 100 Continue\r\nContent-Length : 43\r\n\r\n" + innerAnswer,
+	} {
+		t.Run(name, func(t *testing.T) { checkBroken(t, answer, fakes.FinishAndReadOn) })
+	}
+}
+
+// TestAnswersWithUnusualFieldsAreDelivered checks that names with all characters of tokens,
+// and lines that are continued, remain valid.
+func TestAnswersWithUnusualFieldsAreDelivered(t *testing.T) {
+	for _, field := range []string{"X!#$%&'*+-.^_`|~09az: z", "x: a\r\n b", " : z", "X:", "X: \x80", "Trailer: X Y"} {
+		for place, answer := range fieldPlaces {
+			t.Run(fmt.Sprintf("%q/%s", field, place), func(t *testing.T) {
+				is := is.New(t)
+				result := rawResult(t, &fakes.RawServer{Answer: strings.Replace(answer, "<field>", field, 1), Ending: fakes.FinishAndReadOn}, 100)
+				is.Equal(result.Verdict, flow.Answered)
+				is.Equal(string(result.Response.Body), "text")
+			})
+		}
+	}
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -196,6 +196,9 @@
 		}
 		body, err := ow.answers.read(ctx, response, ow.maxBody)
 		_ = response.Body.Close()
+		if err == nil {
+			err = heads.CheckFields(response.Trailer)
+		}
 		if fault.Is(err, fault.TooLarge) {
 			err = fault.New(fault.BrokenAnswer, "the upstream's answer is above max-body, which is %d bytes", ow.maxBody)
 		}
--- a/verbs/tls.go
+++ b/verbs/tls.go
@@ -7,6 +7,7 @@
 
 	"sequoiamill.example/sequoiamill/certs"
 	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/heads"
 	"sequoiamill.example/sequoiamill/node"
 	"sequoiamill.example/sequoiamill/types"
 )
@@ -52,9 +53,9 @@
 // client uses TLS unless the flag --plain-text names operators.
 func (f tlsFlags) httpClient() *http.Client {
 	if f.plainText().Has(node.Operators) {
-		return http.DefaultClient
+		return &http.Client{Transport: heads.NewTransport(http.DefaultTransport)}
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: f.dial}}
+	return &http.Client{Transport: heads.NewTransport(&http.Transport{DialContext: f.dial})}
 }
 
 // dial opens a TLS connection to a node. It returns an error if the flags contain no
