Do not take a reset for the end of a peer's answer

Cause: the same as with upstreams, in http.Transport. Its write and its read of a connection share an error that the system reports once, and a body without a length ends where the read does. A message of a peer doesn't tell where it ends, so that a part of one can be decoded.

Nodes state the end of each answer. The clients for peers, for timelines and of the command line now refuse an answer that has neither a length nor chunks. An answer of the platform without a length stays served.

--- a/heads/transport.go
+++ b/heads/transport.go
@@ -7,15 +7,36 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
+
+	"sequoiamill.example/sequoiamill/fault"
 )
 
 // Transport is an http.RoundTripper that returns an error in place of a malformed response
 // and closes its connection. The request may have been executed. It is safe for concurrent
 // use.
-type Transport struct{ base http.RoundTripper }
+type Transport struct {
+	base     http.RoundTripper
+	knownEnd bool
+}
+
+// Option configures a Transport.
+type Option func(*Transport)
+
+// WithKnownEnd refuses responses whose body has neither a length nor a chunked end. While a
+// request is still being written, the base may take a reset for the end of such a body. It is
+// for servers that always state the end, and for bodies that don't tell where they end.
+func WithKnownEnd() Option {
+	return func(tr *Transport) { tr.knownEnd = true }
+}
 
 // NewTransport returns a Transport that sends its requests with base.
-func NewTransport(base http.RoundTripper) *Transport { return &Transport{base: base} }
+func NewTransport(base http.RoundTripper, opts ...Option) *Transport {
+	tr := &Transport{base: base}
+	for _, opt := range opts {
+		opt(tr)
+	}
+	return tr
+}
 
 // RoundTrip implements http.RoundTripper. For a malformed response, the error is of kind
 // fault.BrokenAnswer.
@@ -25,7 +46,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := ex.check(response); err != nil {
+	err = ex.check(response)
+	if err == nil && tr.knownEnd && !endKnown(response) {
+		err = fault.New(fault.BrokenAnswer, "the response has neither a length nor a chunked end")
+	}
+	if err != nil {
 		_ = response.Body.Close()
 		ex.close()
 		return nil, err
@@ -33,6 +58,12 @@
 	return response, nil
 }
 
+// endKnown reports whether the end of a response's body is known. A decompressed body has an
+// end of its own.
+func endKnown(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Uncompressed || response.Body == http.NoBody
+}
+
 // CloseIdleConnections closes the idle connections of the base, as http.Client expects it.
 func (tr *Transport) CloseIdleConnections() {
 	if closer, ok := tr.base.(interface{ CloseIdleConnections() }); ok {
--- a/node/node.go
+++ b/node/node.go
@@ -234,7 +234,7 @@
 		state: core.New(self, coreOptions...), now: nd.now, run: nd.runEffect,
 		suspended: func() time.Duration { return detector.sinceLast(nd.now(), bootTime()) },
 	}
-	nd.collector = &http.Client{Transport: heads.NewTransport(&http.Transport{DialContext: nd.peerDialer()})}
+	nd.collector = &http.Client{Transport: heads.NewTransport(&http.Transport{DialContext: nd.peerDialer()}, heads.WithKnownEnd())}
 	nd.peers = peer.NewClient(nd.clock, nd.now, peer.WithMeter(nd.metrics.countControlBytes), peer.WithInstance(nd.settings.Instance), peer.WithDialer(nd.peerDialer()))
 	nd.bodies = nd.newBodyBudget()
 	ownerOptions := []proxy.OwnerOption{proxy.WithMaxBody(nd.settings.MaxBody), proxy.WithBudget(nd.bodies), proxy.WithMetrics(nd.metrics.proxyMetrics())}
--- a/peer/broken_test.go
+++ b/peer/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,17 +17,16 @@
 // reachedBody is the body of the answer to a probe that reached its target.
 const reachedBody = "Content-Type: application/proto\r\nContent-Length: 2\r\n\r\n\x08\x01"
 
-// probeWith returns the result of a probe that a peer answers with raw bytes.
-func probeWith(t *testing.T, answer string) (bool, error) {
+// probeWith returns the result of a probe of an instance that a raw server answers.
+func probeWith(t *testing.T, server *fakes.RawServer, id types.InstanceID) (bool, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	server := &fakes.RawServer{Answer: answer, Ending: fakes.FinishAndReadOn}
 	go server.Listen(listener)
 	client := peer.NewClient(trace.NewClock(), time.Now)
-	return client.Probe(t.Context(), types.Address(listener.Addr().String()), "b", "127.0.0.1:1")
+	return client.Probe(t.Context(), types.Address(listener.Addr().String()), id, "127.0.0.1:1")
 }
 
 // TestMalformedHeadOfAPeerIsNotBelieved guards against clients that take a message out of an
@@ -37,10 +37,26 @@
 		"HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 101 Switching Protocols\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length : 9\r\n", "HTTP/1.1 103 Early\r\nX : z\r\n\r\nHTTP/1.1 200 OK\r\n",
 	} {
-		reached, err := probeWith(t, head+reachedBody)
+		reached, err := probeWith(t, &fakes.RawServer{Answer: head + reachedBody, Ending: fakes.FinishAndReadOn}, "b")
 		is.True(err != nil && !reached) // nothing is believed
 	}
-	reached, err := probeWith(t, "HTTP/1.1 200 OK\r\n"+reachedBody)
+	reached, err := probeWith(t, &fakes.RawServer{Answer: "HTTP/1.1 200 OK\r\n" + reachedBody}, "b")
 	is.NoErr(err)
 	is.True(reached)
 }
+
+// TestResetBesideARequestIsNoEndOfAPeersAnswer guards against clients that take a part of a
+// message for the whole one when the peer resets the connection.
+func TestResetBesideARequestIsNoEndOfAPeersAnswer(t *testing.T) {
+	const tries, requestSize = 20, 4 << 20
+	is := is.NewRelaxed(t)
+	id := types.InstanceID(strings.Repeat("b", requestSize))
+	for range tries {
+		server := &fakes.RawServer{
+			Answer: "HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n\r\n\x08\x01",
+			Ending: fakes.ResetAtOnce, Wait: 2 * time.Millisecond,
+		}
+		reached, err := probeWith(t, server, id)
+		is.True(err != nil && !reached) // nothing is believed
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -148,7 +148,7 @@
 		MaxIdleConns:       idleConnections,
 		IdleConnTimeout:    idleTimeout,
 		DisableCompression: true,
-	})}
+	}, heads.WithKnownEnd())}
 	return cl
 }
 
--- a/plat/broken_test.go
+++ b/plat/broken_test.go
@@ -125,3 +125,18 @@
 		is.Equal(seen, []plat.Revision{plat.Era(0).Revision("7")})
 	}
 }
+
+// TestPartOfAnAnswerIsNotBelieved checks that an answer without a length, which a reset cuts
+// while the request is being written, is not taken for the whole one.
+func TestPartOfAnAnswerIsNotBelieved(t *testing.T) {
+	const tries = 5
+	object := plat.Object{Name: plat.RootName, Revision: plat.Era(0).Revision("6"), Body: make([]byte, 6<<20)}
+	for _, method := range []string{http.MethodPut, http.MethodPost} {
+		for _, wait := range []time.Duration{0, 2 * time.Millisecond, 20 * time.Millisecond} {
+			for range tries {
+				server := &fakes.RawServer{Answer: "HTTP/1.1 200 OK\r\n\r\n" + storedObject[:len(storedObject)-1], Ending: fakes.ResetAtOnce, Wait: wait}
+				checkNotBelieved(t, method, server, object)
+			}
+		}
+	}
+}
--- a/verbs/tls.go
+++ b/verbs/tls.go
@@ -53,9 +53,9 @@
 // client uses TLS unless the flag --plain-text names operators.
 func (f tlsFlags) httpClient() *http.Client {
 	if f.plainText().Has(node.Operators) {
-		return &http.Client{Transport: heads.NewTransport(http.DefaultTransport)}
+		return &http.Client{Transport: heads.NewTransport(http.DefaultTransport, heads.WithKnownEnd())}
 	}
-	return &http.Client{Transport: heads.NewTransport(&http.Transport{DialContext: f.dial})}
+	return &http.Client{Transport: heads.NewTransport(&http.Transport{DialContext: f.dial}, heads.WithKnownEnd())}
 }
 
 // dial opens a TLS connection to a node. It returns an error if the flags contain no
