--- /dev/null
+++ b/heads/transport_test.go
@@ -0,0 +1,102 @@
+package heads_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiamill.example/sequoiamill/fakes"
+	"sequoiamill.example/sequoiamill/fault"
+	"sequoiamill.example/sequoiamill/heads"
+)
+
+// get sends a request to a raw server and returns the body of the answer.
+func get(t *testing.T, client *http.Client, server *fakes.RawServer) (string, error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go server.Listen(listener)
+	response, err := client.Get("http://" + listener.Addr().String())
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+func waitUntilClosed(server *fakes.RawServer) {
+	for server.Closed() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestTransportClosesTheConnectionOfAMalformedResponse checks that a connection isn't used
+// again on which the next response may begin anywhere.
+func TestTransportClosesTheConnectionOfAMalformedResponse(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 103 Early\r\nX Y: z\r\n\r\n",
+	} {
+		is := is.New(t)
+		server := &fakes.RawServer{Answer: answer}
+		_, err := get(t, &http.Client{Transport: heads.NewTransport(&http.Transport{})}, server)
+		is.True(fault.Is(err, fault.BrokenAnswer))
+		waitUntilClosed(server)
+	}
+}
+
+// TestTransportKeepsTheConnectionOfASoundResponse checks that a connection is closed with the
+// idle ones, not before.
+func TestTransportKeepsTheConnectionOfASoundResponse(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext",
+		"HTTP/1.1 103 Early\r\nX-A: b\r\n\r\nHTTP/1.1 600 Other\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n",
+	} {
+		is := is.New(t)
+		client := &http.Client{Transport: heads.NewTransport(&http.Transport{}, heads.WithKnownEnd())}
+		server := &fakes.RawServer{Answer: answer}
+		body, err := get(t, client, server)
+		is.NoErr(err)
+		is.Equal(body, "text")
+		is.Equal(server.Closed(), int64(0))
+		client.CloseIdleConnections()
+		waitUntilClosed(server)
+	}
+}
+
+// TestTransportWithKnownEnd checks that a response which ends with its connection is refused
+// only where the end must be known.
+func TestTransportWithKnownEnd(t *testing.T) {
+	is := is.New(t)
+	for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		server := &fakes.RawServer{Answer: protocol + " 200 OK\r\n\r\ntext", Ending: fakes.FinishAndReadOn}
+		body, err := get(t, &http.Client{Transport: heads.NewTransport(&http.Transport{})}, server)
+		is.NoErr(err)
+		is.Equal(body, "text")
+		_, err = get(t, &http.Client{Transport: heads.NewTransport(&http.Transport{}, heads.WithKnownEnd())}, server)
+		is.True(fault.Is(err, fault.BrokenAnswer))
+	}
+}
+
+// TestIsToken checks every byte against the characters that RFC 9110 lists for a token.
+func TestIsToken(t *testing.T) {
+	is := is.New(t)
+	const valid = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	for char := range 256 {
+		text := string([]byte{byte(char)})
+		is.Equal(heads.IsToken(text), strings.Contains(valid, text))
+		is.Equal(heads.IsToken("X"+text), strings.Contains(valid, text))
+	}
+	is.True(!heads.IsToken(""))
+}
