Quote only a part of a malformed head in errors

A status line or the name of a field may have 256 KB, and the error goes to the caller and into logs. The checks for heads quote 64 characters of it.

--- a/heads/heads.go
+++ b/heads/heads.go
@@ -17,13 +17,16 @@
 	"sequoiamill.example/sequoiamill/fault"
 )
 
+// maxQuoted is the number of characters up to which errors quote a response.
+const maxQuoted = 64
+
 // CheckResponse returns an error of kind fault.BrokenAnswer if the head of a response is
 // malformed: it has a status below 100 or a field whose name is no token, or it is an interim
 // response and states a body, which a reader would take for the next response.
 func CheckResponse(response *http.Response) error {
 	switch {
 	case response.StatusCode < http.StatusContinue:
-		return fault.New(fault.BrokenAnswer, "the response has the status %q", response.Status)
+		return fault.New(fault.BrokenAnswer, "the response has the status %.*q", maxQuoted, response.Status)
 	case response.StatusCode < http.StatusOK && statesBody(response):
 		return fault.New(fault.BrokenAnswer, "the interim response %d states a body", response.StatusCode)
 	default:
@@ -31,6 +34,19 @@
 	}
 }
 
+// CheckFinal is CheckResponse for a response that must not be an interim one.
+func CheckFinal(response *http.Response) error {
+	if response.StatusCode < http.StatusOK {
+		return fault.New(fault.BrokenAnswer, "the response has the status %.*q", maxQuoted, response.Status)
+	}
+	return CheckFields(response.Header)
+}
+
+func statesBody(response *http.Response) bool {
+	length := response.Header.Get("Content-Length")
+	return length != "" && length != "0" || len(response.TransferEncoding) > 0
+}
+
 // CheckFields returns an error of kind fault.BrokenAnswer if the name of a field in a head or
 // in trailers is no token. A field such as "Content-Length : 4" is not the one that it looks
 // like, so that what follows the head may be taken for something else. Names without a value
@@ -38,7 +54,7 @@
 func CheckFields(fields http.Header) error {
 	for name, values := range fields {
 		if len(values) > 0 && !IsToken(name) {
-			return fault.New(fault.BrokenAnswer, "the response has a field named %q", name)
+			return fault.New(fault.BrokenAnswer, "the response has a field named %.*q", maxQuoted, name)
 		}
 	}
 	return nil
@@ -67,16 +83,3 @@
 	}
 	return set
 }
-
-// CheckFinal is CheckResponse for a response that must not be an interim one.
-func CheckFinal(response *http.Response) error {
-	if response.StatusCode < http.StatusOK {
-		return fault.New(fault.BrokenAnswer, "the response has the status %q", response.Status)
-	}
-	return CheckResponse(response)
-}
-
-func statesBody(response *http.Response) bool {
-	length := response.Header.Get("Content-Length")
-	return length != "" && length != "0" || len(response.TransferEncoding) > 0
-}
--- a/heads/transport_test.go
+++ b/heads/transport_test.go
@@ -100,3 +100,17 @@
 	}
 	is.True(!heads.IsToken(""))
 }
+
+// TestErrorsQuoteAPartOfAResponse checks that a long status or name does not get into errors.
+func TestErrorsQuoteAPartOfAResponse(t *testing.T) {
+	const longest = 200
+	is := is.New(t)
+	long := strings.Repeat("x", 100_000)
+	for _, response := range []*http.Response{
+		{Status: "000 " + long},
+		{StatusCode: http.StatusOK, Header: http.Header{"X " + long: {"z"}}},
+	} {
+		err := heads.CheckResponse(response)
+		is.True(err != nil && len(err.Error()) < longest)
+	}
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -163,6 +163,7 @@
 	case pw.err == nil, errors.Is(pw.err, unix.EPIPE):
 		return nil
 	case errors.Is(pw.err, os.ErrDeadlineExceeded), errors.Is(pw.err, net.ErrClosed):
+		// The write was still under way.
 		return nil
 	default:
 		return pw.err
