Name the fault of an interim reply beside a forwarded upload

What callers saw: where another node replied with a malformed interim head while the job was still being written to it, the call ended as "unreachable: wait for the owner: write ... use of closed network connection" instead of as a broken answer. The outcome was unknown in both cases, so that no work ran twice, but an unreachable owner is reported as one to come back to, and the cause was not in the log.

Cause: http.Transport writes the head of a request and its body apart. A fault that Got1xxResponse returns closes the connection; if the body is still being written, the transport returns the error of that write in place of the fault.

The fault now cancels the exchange, and as the cause of its context it is what the result names, whichever error the transport returns.

Evidence: on the two interim replies of the tests end as unreachable in 20 of 20 tries each with 8 MB, 3 of 20 with 64 KB and 0 of 20 with 3 bytes; beside 12 busy processes and with the race detector, TestFieldNameOfAnotherNodeIsAToken failed in 558 of 2,400 runs with 3 bytes, TestStatusOfAnotherNodeHasThreeDigits in 238. The tests now also send 8 MB, where both fail on and pass here: 30 of 30 runs alone, 20 of 20 beside 10 busy processes, with the race detector. The checks are the same.

--- a/proxy/broken_test.go
+++ b/proxy/broken_test.go
@@ -69,9 +69,13 @@
 		"Sequoiamill-Digest: %x\r\nContent-Length: %d\r\n\r\n%s", line, status, xxhash.Sum64String(body), len(body), body)
 }
 
-// forwardTo returns the result of a job that is forwarded to a node.
-func forwardTo(t *testing.T, server *fakes.RawServer) proxy.Result {
-	job := proxy.Job{Request: "r", Method: http.MethodPost, URI: "/", Body: []byte("ask"), Route: conf.Route{Service: "intake"}, Deadline: time.Now().Add(time.Minute)}
+// forwardSizes are sizes of jobs that are written before a node replies, and beside its reply.
+var forwardSizes = []int{3, uploadSize}
+
+// forwardTo returns the result of a job with a body of the given size that is forwarded to a
+// node.
+func forwardTo(t *testing.T, server *fakes.RawServer, size int) proxy.Result {
+	job := proxy.Job{Request: "r", Method: http.MethodPost, URI: "/", Body: make([]byte, size), Route: conf.Route{Service: "intake"}, Deadline: time.Now().Add(time.Minute)}
 	return proxy.NewForwarder(time.Now, bodyLimit).Do(context.Background(), startRaw(t, server), job)
 }
 
@@ -88,23 +92,27 @@
 		"own-101": ownerReply("101 Switching Protocols", "200"),
 		"interim": withLength("102 Processing", ownerReply("200 OK", "200")),
 	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.NewRelaxed(t)
-			server := &fakes.RawServer{Answer: reply}
-			result := forwardTo(t, server)
-			if result.Verdict != flow.Lost {
-				t.Fatalf("the reply is %s: %d %q", result.Verdict, result.Response.Status, result.Response.Body)
-			}
-			is.Equal(result.Err.Kind, fault.BrokenAnswer)
-			waitUntil(func() bool { return server.Closed() == 1 })
-			is.Equal(server.Requests(), int64(1))
-		})
+		for _, size := range forwardSizes {
+			t.Run(fmt.Sprint(name, "/", size), func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				server := &fakes.RawServer{Answer: reply}
+				result := forwardTo(t, server, size)
+				if result.Verdict != flow.Lost {
+					t.Fatalf("the reply is %s: %d %q", result.Verdict, result.Response.Status, result.Response.Body)
+				}
+				is.Equal(result.Err.Kind, fault.BrokenAnswer)
+				waitUntil(func() bool { return server.Closed() == 1 })
+				is.Equal(server.Requests(), int64(1))
+			})
+		}
 	}
 	for _, status := range []string{"200", "999"} {
-		is := is.New(t)
-		result := forwardTo(t, &fakes.RawServer{Answer: ownerReply("200 OK", status)})
-		is.Equal(result.Verdict, flow.Answered)
-		is.Equal(fmt.Sprint(result.Response.Status), status)
+		for _, size := range forwardSizes {
+			is := is.New(t)
+			result := forwardTo(t, &fakes.RawServer{Answer: ownerReply("200 OK", status)}, size)
+			is.Equal(result.Verdict, flow.Answered)
+			is.Equal(fmt.Sprint(result.Response.Status), status)
+		}
 	}
 }
 
@@ -172,11 +180,13 @@
 		strings.Replace(ownerReply("200 OK", "200"), "Content-Length", "Content-Length ", 1),
 		"HTTP/1.1 102 Processing\r\nX Y: z\r\n\r\n" + ownerReply("200 OK", "200"),
 	} {
-		server := &fakes.RawServer{Answer: reply, Ending: fakes.FinishAndReadOn}
-		result := forwardTo(t, server)
-		is.Equal(result.Verdict, flow.Lost)
-		is.Equal(result.Err.Kind, fault.BrokenAnswer)
-		waitUntil(func() bool { return server.Closed() == 1 })
+		for _, size := range forwardSizes {
+			server := &fakes.RawServer{Answer: reply, Ending: fakes.FinishAndReadOn}
+			result := forwardTo(t, server, size)
+			is.Equal(result.Verdict, flow.Lost)
+			is.Equal(result.Err.Kind, fault.BrokenAnswer)
+			waitUntil(func() bool { return server.Closed() == 1 })
+		}
 	}
 }
 
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -93,11 +93,12 @@
 	if err != nil && !used.sent() {
 		return Result{Verdict: flow.Unsent, Err: fault.Wrap(fault.Unreachable, err, "connect to the owner")}
 	}
-	if fault.Is(err, fault.BrokenAnswer) {
-		return unknownOutcomeResult(fault.From(err))
-	}
 	if err != nil {
-		return unknownOutcomeResult(fault.Wrap(fault.Unreachable, causeOf(ctx, err), "wait for the owner"))
+		cause := causeOf(ctx, err)
+		if fault.Is(cause, fault.BrokenAnswer) {
+			return unknownOutcomeResult(fault.From(cause))
+		}
+		return unknownOutcomeResult(fault.Wrap(fault.Unreachable, cause, "wait for the owner"))
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := heads.CheckFinal(response); err != nil {
--- a/proxy/heartbeat.go
+++ b/proxy/heartbeat.go
@@ -71,8 +71,9 @@
 }
 
 // newWatchdog returns a watchdog and a context. The context is canceled with the
-// cause errInactive when the watchdog has not been reset for the given limit. The
-// returned function stops the watchdog and cancels the context.
+// cause errInactive when the watchdog has not been reset for the given limit, and
+// with the fault of an interim response that is malformed. The returned function
+// stops the watchdog and cancels the context.
 func newWatchdog(ctx context.Context, limit time.Duration) (*watchdog, context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	wd := &watchdog{limit: limit}
@@ -81,7 +82,12 @@
 		WroteRequest: func(httptrace.WroteRequestInfo) { wd.reset() },
 		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
 			wd.reset()
-			return heads.CheckResponse(&http.Response{StatusCode: status, Header: http.Header(header)})
+			err := heads.CheckResponse(&http.Response{StatusCode: status, Header: http.Header(header)})
+			if err != nil {
+				// The transport may return the error of writing the request instead.
+				cancel(err)
+			}
+			return err
 		},
 	})
 	return wd, ctx, func() {
