Return the fault of an interim response beside an upload

What callers saw: a client of heads.Transport (the platform's store, peers, the collector of timelines, the commands, the load tool) that got a malformed interim response while its request was still being written returned the error of the write, "use of closed network connection". The response was refused all the same, but as a failure of the network and without its fault.

The base returns the error of the write that the fault has ended, and RoundTrip passed it on without a look at the fault that it had recorded.

RoundTrip now returns the recorded fault if there is one.

--- a/heads/transport.go
+++ b/heads/transport.go
@@ -44,7 +44,7 @@
 	ex := &exchange{}
 	response, err := tr.base.RoundTrip(request.WithContext(ex.trace(request.Context())))
 	if err != nil {
-		return nil, err
+		return nil, ex.cause(err)
 	}
 	err = ex.check(response)
 	if err == nil && tr.knownEnd && !endKnown(response) {
@@ -98,6 +98,17 @@
 	return ex.err
 }
 
+// cause returns the fault of an interim response, or err if there was none. The base may
+// return the error of writing the request in place of that fault.
+func (ex *exchange) cause(err error) error {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	if ex.err != nil {
+		return ex.err
+	}
+	return err
+}
+
 // check returns the fault of a response or of an interim one before it.
 func (ex *exchange) check(response *http.Response) error {
 	ex.mu.Lock()
--- a/heads/transport_test.go
+++ b/heads/transport_test.go
@@ -1,6 +1,7 @@
 package heads_test
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -15,8 +16,17 @@
 	"sequoiamill.example/sequoiamill/heads"
 )
 
+// uploadSize is the size of a request body that no socket buffers as a whole.
+const uploadSize = 8 << 20
+
 // get sends a request to a raw server and returns the body of the answer.
 func get(t *testing.T, client *http.Client, server *fakes.RawServer) (string, error) {
+	t.Helper()
+	return send(t, client, server, http.MethodGet, http.NoBody)
+}
+
+// send sends a request to a raw server and returns the body of the answer.
+func send(t *testing.T, client *http.Client, server *fakes.RawServer, method string, body io.Reader) (string, error) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -24,13 +34,17 @@
 	}
 	t.Cleanup(func() { _ = listener.Close() })
 	go server.Listen(listener)
-	response, err := client.Get("http://" + listener.Addr().String())
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+listener.Addr().String(), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		return "", err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return string(body), err
+	answer, err := io.ReadAll(response.Body)
+	return string(answer), err
 }
 
 func waitUntilClosed(server *fakes.RawServer) {
@@ -39,15 +53,32 @@
 	}
 }
 
+// malformedAnswers are answers that net/http accepts and a Transport refuses.
+var malformedAnswers = []string{
+	"HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 103 Early\r\nX Y: z\r\n\r\n",
+}
+
+// TestMalformedResponseBesideAnUploadIsNamed checks that the fault of a response is returned,
+// not the error of the write that it ends.
+func TestMalformedResponseBesideAnUploadIsNamed(t *testing.T) {
+	for _, answer := range malformedAnswers {
+		t.Run(answer, func(t *testing.T) {
+			is := is.New(t)
+			server := &fakes.RawServer{Answer: answer}
+			_, err := send(t, &http.Client{Transport: heads.NewTransport(&http.Transport{})}, server, http.MethodPost, bytes.NewReader(make([]byte, uploadSize)))
+			is.True(fault.Is(err, fault.BrokenAnswer))
+			waitUntilClosed(server)
+		})
+	}
+}
+
 // TestTransportClosesTheConnectionOfAMalformedResponse checks that a connection isn't used
 // again on which the next response may begin anywhere.
 func TestTransportClosesTheConnectionOfAMalformedResponse(t *testing.T) {
-	for _, answer := range []string{
-		"HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 0\r\n\r\n",
-		"HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-		"HTTP/1.1 103 Early\r\nX Y: z\r\n\r\n",
-	} {
+	for _, answer := range malformedAnswers {
 		is := is.New(t)
 		server := &fakes.RawServer{Answer: answer}
 		_, err := get(t, &http.Client{Transport: heads.NewTransport(&http.Transport{})}, server)
