Read in place of a delegate whose read of the store is not answered

Cause: one node of a zone reads the store for all that have late watches, and its loss is noticed by a detector whose steps add up to more than the bound of 2 s: up to 1.5 s until the next read, 0.5 s without an answer, then the spread, in which each node waits 0.3 s for a watch that is late. The second node with a current watch is cut off as well.

The reads of a delegate are regular, 0.95 to 1.05 s apart. A version that is read before the watches tell of it is pulled at once and sent first to those that lack it. A node that takes over a current watch reads once, since the new watch takes longer.

--- a/api/peerv1/peerv1connect/peer.connect.go
+++ b/api/peerv1/peerv1connect/peer.connect.go
@@ -40,6 +40,8 @@
 	PeerExchangeProcedure = "/sequoiamill.peer.v1.Peer/Exchange"
 	// PeerProbeProcedure is the fully-qualified name of the Peer's Probe RPC.
 	PeerProbeProcedure = "/sequoiamill.peer.v1.Peer/Probe"
+	// PeerReadRootProcedure is the fully-qualified name of the Peer's ReadRoot RPC.
+	PeerReadRootProcedure = "/sequoiamill.peer.v1.Peer/ReadRoot"
 	// PeerPullProcedure is the fully-qualified name of the Peer's Pull RPC.
 	PeerPullProcedure = "/sequoiamill.peer.v1.Peer/Pull"
 	// PeerTradeProcedure is the fully-qualified name of the Peer's Trade RPC.
@@ -53,6 +55,9 @@
 	Exchange(context.Context, *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error)
 	// Probe asks a peer to probe a third node (an indirect probe).
 	Probe(context.Context, *connect.Request[peerv1.ProbeRequest]) (*connect.Response[peerv1.ProbeResponse], error)
+	// ReadRoot asks a peer to read the configuration's root object from the platform, for a
+	// node whose own read is not answered in time (a hedged read).
+	ReadRoot(context.Context, *connect.Request[peerv1.ReadRootRequest]) (*connect.Response[peerv1.ReadRootResponse], error)
 	// Pull returns the configuration in force at the peer, without the resource
 	// bodies that the requesting node already holds.
 	Pull(context.Context, *connect.Request[peerv1.PullRequest]) (*connect.Response[peerv1.PullResponse], error)
@@ -85,6 +90,12 @@
 			connect.WithSchema(peerMethods.ByName("Probe")),
 			connect.WithClientOptions(opts...),
 		),
+		readRoot: connect.NewClient[peerv1.ReadRootRequest, peerv1.ReadRootResponse](
+			httpClient,
+			baseURL+PeerReadRootProcedure,
+			connect.WithSchema(peerMethods.ByName("ReadRoot")),
+			connect.WithClientOptions(opts...),
+		),
 		pull: connect.NewClient[peerv1.PullRequest, peerv1.PullResponse](
 			httpClient,
 			baseURL+PeerPullProcedure,
@@ -104,6 +115,7 @@
 type peerClient struct {
 	exchange *connect.Client[peerv1.ExchangeRequest, peerv1.ExchangeResponse]
 	probe    *connect.Client[peerv1.ProbeRequest, peerv1.ProbeResponse]
+	readRoot *connect.Client[peerv1.ReadRootRequest, peerv1.ReadRootResponse]
 	pull     *connect.Client[peerv1.PullRequest, peerv1.PullResponse]
 	trade    *connect.Client[peerv1.TradeRequest, peerv1.TradeResponse]
 }
@@ -118,6 +130,11 @@
 	return c.probe.CallUnary(ctx, req)
 }
 
+// ReadRoot calls sequoiamill.peer.v1.Peer.ReadRoot.
+func (c *peerClient) ReadRoot(ctx context.Context, req *connect.Request[peerv1.ReadRootRequest]) (*connect.Response[peerv1.ReadRootResponse], error) {
+	return c.readRoot.CallUnary(ctx, req)
+}
+
 // Pull calls sequoiamill.peer.v1.Peer.Pull.
 func (c *peerClient) Pull(ctx context.Context, req *connect.Request[peerv1.PullRequest]) (*connect.Response[peerv1.PullResponse], error) {
 	return c.pull.CallUnary(ctx, req)
@@ -135,6 +152,9 @@
 	Exchange(context.Context, *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error)
 	// Probe asks a peer to probe a third node (an indirect probe).
 	Probe(context.Context, *connect.Request[peerv1.ProbeRequest]) (*connect.Response[peerv1.ProbeResponse], error)
+	// ReadRoot asks a peer to read the configuration's root object from the platform, for a
+	// node whose own read is not answered in time (a hedged read).
+	ReadRoot(context.Context, *connect.Request[peerv1.ReadRootRequest]) (*connect.Response[peerv1.ReadRootResponse], error)
 	// Pull returns the configuration in force at the peer, without the resource
 	// bodies that the requesting node already holds.
 	Pull(context.Context, *connect.Request[peerv1.PullRequest]) (*connect.Response[peerv1.PullResponse], error)
@@ -163,6 +183,12 @@
 		connect.WithSchema(peerMethods.ByName("Probe")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerReadRootHandler := connect.NewUnaryHandler(
+		PeerReadRootProcedure,
+		svc.ReadRoot,
+		connect.WithSchema(peerMethods.ByName("ReadRoot")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerPullHandler := connect.NewUnaryHandler(
 		PeerPullProcedure,
 		svc.Pull,
@@ -181,6 +207,8 @@
 			peerExchangeHandler.ServeHTTP(w, r)
 		case PeerProbeProcedure:
 			peerProbeHandler.ServeHTTP(w, r)
+		case PeerReadRootProcedure:
+			peerReadRootHandler.ServeHTTP(w, r)
 		case PeerPullProcedure:
 			peerPullHandler.ServeHTTP(w, r)
 		case PeerTradeProcedure:
@@ -202,6 +230,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sequoiamill.peer.v1.Peer.Probe is not implemented"))
 }
 
+func (UnimplementedPeerHandler) ReadRoot(context.Context, *connect.Request[peerv1.ReadRootRequest]) (*connect.Response[peerv1.ReadRootResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sequoiamill.peer.v1.Peer.ReadRoot is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Pull(context.Context, *connect.Request[peerv1.PullRequest]) (*connect.Response[peerv1.PullResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sequoiamill.peer.v1.Peer.Pull is not implemented"))
 }
--- a/codec/peer.go
+++ b/codec/peer.go
@@ -38,6 +38,7 @@
 		HeldBuckets: message.HeldBucketHashes,
 		HeldView:    message.HeldHash,
 		Repair:      message.Repair,
+		Prompt:      message.Prompt,
 		Blame:       blameToProto(message.Blame),
 	}
 	for _, report := range message.Reports {
@@ -70,6 +71,7 @@
 		HeldBucketHashes: wire.GetHeldBuckets(),
 		HeldHash:         wire.GetHeldView(),
 		Repair:           wire.GetRepair(),
+		Prompt:           wire.GetPrompt(),
 	}
 	for _, item := range wire.GetReports() {
 		message.Reports = append(message.Reports, fleet.VersionReport{ID: types.InstanceID(item.GetInstance()), HeldVersion: types.Version(item.GetHeld())})
--- a/core/converge_test.go
+++ b/core/converge_test.go
@@ -8,6 +8,7 @@
 
 	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/core"
+	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/types"
 )
@@ -44,16 +45,36 @@
 	state *core.State
 	// watch is the latest effect on the node's watch.
 	watch core.WatchPlatform
+	// watchLost is true if the store no longer answers the node's watch.
+	watchLost bool
 	// up is false while the node is dead or paused.
 	up        bool
 	disturbed bool
-	replies   map[uint64]func(fleet.Message)
+	// store is how the store answers the node.
+	store   storeAnswers
+	replies map[uint64]func(fleet.Message)
 }
 
-func newVersionMesh(seed uint64) *versionMesh {
+// storeAnswers is how the store answers a node.
+type storeAnswers int
+
+const (
+	storePrompt storeAnswers = iota
+	storeSilent
+	storeRefuses
+	storeSlow
+)
+
+// slowTime is how long a slow store takes to answer.
+const slowTime = 450 * time.Millisecond
+
+func newVersionMesh(seed uint64) *versionMesh { return newVersionMeshOf(seed, 12, 3) }
+
+// newVersionMeshOf returns a mesh of the given size.
+func newVersionMeshOf(seed uint64, nodes, zones int) *versionMesh {
 	ms := &versionMesh{now: epoch, stored: 1}
-	for number := range 12 {
-		zone := types.Zone([]string{"kolkata", "howrah", "haldia"}[number%3])
+	for number := range nodes {
+		zone := types.Zone([]string{"kolkata", "howrah", "haldia"}[number%zones])
 		ms.nodes = append(ms.nodes, &versionNode{id: fmt.Sprint("n", number), zone: zone, seed: 100*seed + uint64(number)})
 	}
 	for _, nd := range ms.nodes {
@@ -71,7 +92,7 @@
 	nd.seed += 1000
 	nd.state = core.New(self, core.WithSeed(nd.seed), core.WithPolicies(policies), core.WithPolling(time.Second),
 		core.WithFleet(fleet.WithDelegates(1), fleet.WithPullDelay(250*time.Millisecond)))
-	nd.up, nd.replies, nd.watch = true, map[uint64]func(fleet.Message){}, core.WatchPlatform{}
+	nd.up, nd.replies, nd.watch, nd.watchLost = true, map[uint64]func(fleet.Message){}, core.WatchPlatform{}, false
 	var seeds []types.Address
 	for _, other := range ms.nodes {
 		if other != nd {
@@ -141,14 +162,67 @@
 		case fleet.PullConfig:
 			ms.pull(nd, ef)
 		case core.PollRoot:
-			version := ms.stored
-			ms.after(nd, callTime, func() { ms.offer(nd, version, ""); ms.step(nd, core.RootPolled{}) })
+			ms.read(nd, func(err *fault.Error) { ms.step(nd, core.RootPolled{Err: err}) })
+		case core.HedgeRoot:
+			ms.hedge(nd, ef)
 		case core.WatchPlatform:
-			nd.watch = ef
+			ms.watch(nd, ef)
+		}
+	}
+}
+
+// read reads the store for a node, offers it the version and reports how the read ended. A
+// store that is silent reports nothing.
+func (ms *versionMesh) read(nd *versionNode, ended func(*fault.Error)) {
+	wait := callTime
+	if nd.store == storeSlow {
+		wait = slowTime
+	}
+	version := ms.stored
+	ms.after(nd, wait, func() {
+		switch nd.store {
+		case storeSilent:
+		case storeRefuses:
+			ended(fault.New(fault.PlatformUnavailable, "503"))
+		default:
+			ms.offerRead(nd, version, conf.ReadByPoll)
+			ended(nil)
 		}
+	})
+}
+
+// hedge lets a peer read the store for a node. A peer that is down reports nothing.
+func (ms *versionMesh) hedge(nd *versionNode, ef core.HedgeRoot) {
+	peer := ms.nodeAt(ef.Address)
+	ms.after(peer, callTime, func() {
+		ms.read(peer, func(err *fault.Error) {
+			ms.after(nd, callTime, func() { ms.step(nd, core.RootHedged{Peer: ef.Peer, Err: err}) })
+		})
+	})
+}
+
+// watch changes a node's watch. A watch of current data begins with the stored version.
+func (ms *versionMesh) watch(nd *versionNode, wanted core.WatchPlatform) {
+	nd.watch, nd.watchLost = wanted, nd.store != storePrompt
+	if wanted.On && !wanted.Cached && !nd.watchLost {
+		ms.after(nd, 2*callTime, func() { ms.watched(nd, ms.stored) })
 	}
 }
 
+// watched tells a node's watch of a version.
+func (ms *versionMesh) watched(nd *versionNode, version types.Version) {
+	if nd.store == storePrompt && !nd.watchLost {
+		ms.offerRead(nd, version, conf.ReadByWatch)
+	}
+}
+
+// setStore changes how the store answers a node. One that is silent or refuses answers no
+// watch that it then has, also later.
+func (ms *versionMesh) setStore(nd *versionNode, answers storeAnswers) {
+	nd.store, nd.disturbed = answers, true
+	nd.watchLost = nd.watchLost || answers != storePrompt
+}
+
 func (ms *versionMesh) nodeAt(address types.Address) *versionNode {
 	i := slices.IndexFunc(ms.nodes, func(nd *versionNode) bool { return types.Address(nd.id+":1") == address })
 	return ms.nodes[i]
@@ -187,12 +261,23 @@
 
 func (nd *versionNode) version() types.Version { return nd.state.Config().Current().Version() }
 
+// offer offers a version that a peer sent, or that was read as the node joined.
 func (ms *versionMesh) offer(nd *versionNode, version types.Version, peer types.InstanceID) {
+	ms.offerFrom(nd, version, conf.VersionOffered{FromPlatform: peer == "", Peer: peer, Reading: conf.ReadAtJoin})
+}
+
+// offerRead offers a version that was read from the store.
+func (ms *versionMesh) offerRead(nd *versionNode, version types.Version, reading conf.Reading) {
+	ms.offerFrom(nd, version, conf.VersionOffered{FromPlatform: true, Reading: reading})
+}
+
+func (ms *versionMesh) offerFrom(nd *versionNode, version types.Version, offer conf.VersionOffered) {
 	snap, err := conf.NewSnapshot(conf.Root{Version: version}, types.Hash(fmt.Sprint(version)), conf.Config{}, conf.Bundle{})
 	if err != nil {
 		panic(err)
 	}
-	ms.step(nd, conf.VersionOffered{Snapshot: snap, FromPlatform: peer == "", Peer: peer})
+	offer.Snapshot = snap
+	ms.step(nd, offer)
 }
 
 // write stores a new version and tells the watches.
@@ -205,7 +290,7 @@
 			if nd.watch.Cached {
 				wait = staleTime
 			}
-			ms.after(nd, wait, func() { ms.offer(nd, version, "") })
+			ms.after(nd, wait, func() { ms.watched(nd, version) })
 		}
 	}
 }
@@ -265,3 +350,67 @@
 		}
 	}
 }
+
+// readersOf returns the nodes whose watches are not late, those that read the store for
+// the others.
+func (ms *versionMesh) readersOf() []*versionNode {
+	var readers []*versionNode
+	for _, nd := range ms.nodes {
+		if nd.watch.On && !nd.watch.Cached && !nd.disturbed {
+			readers = append(readers, nd)
+		}
+	}
+	return readers
+}
+
+// disturbShare lets the store answer the readers otherwise, and some more nodes of each
+// zone, so that the given share of the nodes is disturbed.
+func (ms *versionMesh) disturbShare(share float64, answers storeAnswers) {
+	disturbed := ms.readersOf()
+	for _, nd := range ms.nodes {
+		if !slices.Contains(disturbed, nd) && float64(len(disturbed)+1) <= share*float64(len(ms.nodes)) {
+			disturbed = append(disturbed, nd)
+		}
+	}
+	for _, nd := range disturbed {
+		ms.setStore(nd, answers)
+	}
+}
+
+// TestVersionArrivesWhileReadersAreCutOff guards against versions that are late on nodes
+// which reach the store, as those that read it for them reach their peers and not the store.
+func TestVersionArrivesWhileReadersAreCutOff(t *testing.T) {
+	plays := []struct {
+		name    string
+		answers storeAnswers
+		again   bool
+	}{
+		{name: "silent", answers: storeSilent},
+		{name: "refused", answers: storeRefuses},
+		{name: "slow", answers: storeSlow},
+		{name: "cut twice", answers: storeSilent, again: true},
+	}
+	sizes := []struct{ nodes, zones int }{{6, 1}, {12, 1}, {12, 3}, {18, 3}, {30, 1}}
+	const phases, cutShare = 12, 0.35
+	for _, play := range plays {
+		for _, size := range sizes {
+			t.Run(fmt.Sprint(play.name, " ", size.nodes, " nodes, ", size.zones, " zones"), func(t *testing.T) {
+				for phase := range phases {
+					ms := newVersionMeshOf(uint64(phase), size.nodes, size.zones)
+					ms.advance(time.Duration(phase) * tickTime)
+					ms.disturbShare(cutShare, play.answers)
+					if play.again {
+						ms.advance(time.Second + time.Duration(phase)*tickTime)
+						ms.disturbShare(0, play.answers)
+					}
+					ms.advance(4 * callTime)
+					ms.write()
+					ms.advance(applyTime)
+					if late := ms.late(); len(late) > 0 {
+						t.Errorf("phase %d: the version is late on %v", phase, late)
+					}
+				}
+			})
+		}
+	}
+}
--- a/core/reach.go
+++ b/core/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"sequoiamill.example/sequoiamill/fault"
@@ -16,6 +17,13 @@
 	// detachedInterval is the average time between two reads by which the detached
 	// nodes of a zone, taken together, check whether they reach the platform again.
 	detachedInterval = time.Second
+	// readSpread is the ratio of the average time between two reads of a delegate to the
+	// range of that time.
+	readSpread = 10
+	// hedgeWait is how long a read may take before peers are asked to read as well.
+	hedgeWait = 150 * time.Millisecond
+	// hedgePeers is how many peers are asked at a time.
+	hedgePeers = 3
 )
 
 // PollRoot is the effect to read the platform's configuration root, offer it to the
@@ -32,6 +40,26 @@
 // Event implements types.Event.
 func (RootPolled) Event() {}
 
+// HedgeRoot is the effect to ask a peer to read the platform's configuration root, because
+// this node's own read is not answered, and to report the end with RootHedged.
+type HedgeRoot struct {
+	Peer    types.InstanceID
+	Address types.Address
+}
+
+// Effect implements types.Effect.
+func (HedgeRoot) Effect() {}
+
+// RootHedged reports that a read requested by HedgeRoot ended. Err is nil if the platform
+// answered the peer.
+type RootHedged struct {
+	Peer types.InstanceID
+	Err  *fault.Error
+}
+
+// Event implements types.Event.
+func (RootHedged) Event() {}
+
 // WatchFailed reports that the watch of a delegate that does not poll has failed.
 type WatchFailed struct{}
 
@@ -54,6 +82,16 @@
 	// askedAt is when the pending read began, or zero if none is pending.
 	askedAt  time.Time
 	delegate bool
+	// succeeded is true if this node has just taken over a watch and is to read once.
+	succeeded bool
+	hedge     hedge
+}
+
+// hedge is what a node has asked of its peers about the pending read.
+type hedge struct {
+	asked []types.InstanceID
+	// answered is true if the platform has answered one of them.
+	answered bool
 }
 
 // pollRoot starts a read if one is due. A delegate whose read is not answered in time
@@ -63,21 +101,56 @@
 	po := &st.poller
 	effects := st.delegatePolling(now)
 	if !po.askedAt.IsZero() {
-		if po.delegate && now.Sub(po.askedAt) >= readPatience {
-			return append(effects, st.detach(fault.New(fault.PlatformUnavailable, "no answer within %s", readPatience))...)
-		}
-		return effects
+		return append(effects, st.awaitRead(now)...)
 	}
 	self := st.fleet.Self()
 	polls := po.delegate && po.interval > 0 || self.Detached && !self.Leaving
-	if !polls || now.Before(po.due) {
+	if !po.succeeded && (!polls || now.Before(po.due)) {
 		return effects
 	}
-	po.askedAt = now
+	po.askedAt, po.succeeded, po.hedge = now, false, hedge{}
 	po.due = now.Add(po.wait(self.Detached, st.fleet.DetachedInZone()))
 	return append(effects, PollRoot{})
 }
 
+// awaitRead asks peers to read the root if the pending read is not answered soon. It does
+// not wait until the delegate steps down: until then, no node reads for the zone.
+func (st *State) awaitRead(now time.Time) []types.Effect {
+	po := &st.poller
+	wait := now.Sub(po.askedAt)
+	switch {
+	case !po.delegate:
+		return nil
+	case wait >= readPatience:
+		return st.detach(fault.New(fault.PlatformUnavailable, "no answer within %s", readPatience))
+	case wait < hedgeWait || po.hedge.answered:
+		return nil
+	}
+	var effects []types.Effect
+	for _, peer := range st.fleet.ZonePeers(hedgePeers, po.hedge.asked) {
+		po.hedge.asked = append(po.hedge.asked, peer.ID)
+		effects = append(effects, HedgeRoot{Peer: peer.ID, Address: peer.Address}, st.hedgeEvent(peer.ID, "asked, no answer within "+wait.Round(time.Millisecond).String()))
+	}
+	return effects
+}
+
+func (st *State) rootHedged(event RootHedged, now time.Time) []types.Effect {
+	outcome := "answered"
+	if event.Err != nil {
+		outcome = event.Err.Error()
+	}
+	po := &st.poller
+	if !po.askedAt.IsZero() && slices.Contains(po.hedge.asked, event.Peer) {
+		po.hedge.answered = po.hedge.answered || event.Err == nil
+		outcome += " " + now.Sub(po.askedAt).Round(time.Millisecond).String() + " after this node's read"
+	}
+	return []types.Effect{st.hedgeEvent(event.Peer, outcome)}
+}
+
+func (st *State) hedgeEvent(peer types.InstanceID, detail string) types.Effect {
+	return trace.Event{Kind: trace.ReadHedged, Subject: peer, Detail: detail}
+}
+
 // delegatePolling notes whether this node is a delegate. One that has just been elected
 // reads at once. It reports a change if delegates poll.
 func (st *State) delegatePolling(now time.Time) []types.Effect {
@@ -97,14 +170,28 @@
 	return []types.Effect{trace.Event{Kind: trace.PollingChanged, Subject: st.fleet.Self().ID, Detail: detail}}
 }
 
-// wait returns the time until the next read, between half and one and a half times the
-// average.
+// wait returns the time until the next read. The reads of a delegate are regular, as a
+// version may have to wait for the next one.
 func (po *rootPoller) wait(detached bool, detachedInZone int) time.Duration {
-	average := po.interval
 	if detached {
-		average = detachedInterval * time.Duration(detachedInZone)
+		average := detachedInterval * time.Duration(detachedInZone)
+		return average/2 + time.Duration(po.rand.Int64N(int64(average)))
+	}
+	spread := po.interval / readSpread
+	return po.interval - spread/2 + time.Duration(po.rand.Int64N(int64(spread)+1))
+}
+
+// rootReadEnded handles the end of a read or of a watch of the platform's configuration
+// root.
+func (st *State) rootReadEnded(event types.Event, now time.Time) []types.Effect {
+	switch ev := event.(type) {
+	case RootPolled:
+		return st.rootPolled(ev)
+	case RootHedged:
+		return st.rootHedged(ev, now)
+	default:
+		return st.fleet.SetDetached(true)
 	}
-	return average/2 + time.Duration(po.rand.Int64N(int64(average)))
 }
 
 func (st *State) rootPolled(event RootPolled) []types.Effect {
--- a/core/reach_test.go
+++ b/core/reach_test.go
@@ -18,9 +18,15 @@
 }
 
 func newReachNode(is *is.I, interval time.Duration) *reachNode {
+	is.Helper()
+	return newReachNodeOf(is, interval, 2)
+}
+
+// newReachNodeOf returns a node of a zone with the given number of delegates.
+func newReachNodeOf(is *is.I, interval time.Duration, delegates int) *reachNode {
 	is.Helper()
 	self := fleet.Member{ID: "a", Incarnation: 1, Address: "a:1", Zone: "kolkata", StartedAt: joinStart}
-	rn := &reachNode{state: New(self, WithPolling(interval), WithFleet(fleet.WithDelegates(2))), now: joinStart}
+	rn := &reachNode{state: New(self, WithPolling(interval), WithFleet(fleet.WithDelegates(delegates))), now: joinStart}
 	rn.state.Step(offerVersion(is, 4), rn.now)
 	rn.state.Step(RootRead{Epoch: 1, Version: 4}, rn.now)
 	rn.state.Step(peerAnswer(1, 4, joinMember("b", 4)), rn.now)
@@ -83,3 +89,41 @@
 	rn.state.Step(RootPolled{}, rn.now)
 	is.Equal(rn.state.Step(Tick{}, rn.now.Add(time.Millisecond))[0], types.Effect(WatchPlatform{On: true}))
 }
+
+// TestUnansweredReadIsHedged guards against a zone that waits until its delegate steps down:
+// peers that may reach the platform are asked first, each once and until one is answered.
+func TestUnansweredReadIsHedged(t *testing.T) {
+	is := is.New(t)
+	rn := newReachNodeOf(is, time.Second, 6)
+	for _, name := range []types.InstanceID{"c", "d", "e", "f"} {
+		rn.state.Step(peerAnswer(1, 4, joinMember(name, 4)), rn.now)
+	}
+	is.Equal(rn.ticks(2200*time.Millisecond), 1)
+	asked := map[types.InstanceID]int{}
+	for rn.now = rn.now.Add(100 * time.Millisecond); !rn.state.Fleet().Self().Detached; rn.now = rn.now.Add(100 * time.Millisecond) {
+		for _, effect := range rn.state.Step(Tick{}, rn.now) {
+			if hedge, ok := effect.(HedgeRoot); ok {
+				asked[hedge.Peer]++
+			}
+		}
+	}
+	is.Equal(asked, map[types.InstanceID]int{"b": 1, "c": 1, "d": 1, "e": 1, "f": 1})
+}
+
+func TestAnsweredHedgeAsksNoFurtherPeer(t *testing.T) {
+	is := is.New(t)
+	rn := newReachNode(is, time.Second)
+	is.Equal(rn.ticks(2200*time.Millisecond), 1)
+	asked := 0
+	for range 3 {
+		rn.now = rn.now.Add(100 * time.Millisecond)
+		for _, effect := range rn.state.Step(Tick{}, rn.now) {
+			if hedge, ok := effect.(HedgeRoot); ok {
+				asked++
+				rn.state.Step(RootHedged{Peer: hedge.Peer}, rn.now)
+			}
+		}
+		rn.state.Step(peerAnswer(1, 4, joinMember("late", 4)), rn.now)
+	}
+	is.Equal(asked, 1)
+}
--- a/core/state.go
+++ b/core/state.go
@@ -214,12 +214,10 @@
 		return st.rootRead(ev)
 	case RecordRead:
 		return st.recordRead(ev, now)
-	case RootPolled:
-		return st.rootPolled(ev)
+	case RootPolled, RootHedged, WatchFailed:
+		return st.rootReadEnded(event, now)
 	case RolloutRead:
 		return st.rolloutRead(ev, now)
-	case WatchFailed:
-		return st.fleet.SetDetached(true)
 	case fleet.ExchangeReceived, fleet.ExchangeAnswered, fleet.ExchangeFailed, fleet.IndirectProbeEnded, fleet.PullEnded:
 		return st.exchanged(event, now)
 	default:
@@ -294,7 +292,8 @@
 			st.calls.Prune(ef.Snapshot)
 			st.splitter.Prune(ef.Snapshot)
 			st.setLimits(ef.Snapshot, now)
-			st.fleet.SetVersion(ef.Snapshot.Version(), ef.Snapshot.Digest())
+			ahead := offer.FromPlatform && offer.Reading == conf.ReadByPoll
+			st.fleet.SetVersion(ef.Snapshot.Version(), ef.Snapshot.Digest(), ahead, now)
 			events = append(events, trace.Event{Kind: trace.ConfigAdopted, Version: ef.Snapshot.Version(), Detail: offer.Origin()})
 			events = append(events, st.refreshUpstream(now)...)
 		case conf.VersionRefused:
--- a/core/watch.go
+++ b/core/watch.go
@@ -15,6 +15,10 @@
 	if wanted == st.watch {
 		return nil
 	}
+	// A new watch takes longer than a read to tell of a version.
+	if st.watch.Cached && wanted.On && !wanted.Cached && st.fleet.Settled() {
+		st.poller.succeeded = true
+	}
 	st.watch = wanted
 	detail := "ended"
 	switch {
--- a/fleet/delegate.go
+++ b/fleet/delegate.go
@@ -102,6 +102,19 @@
 	return eligible[:min(len(eligible), 2*tb.delegatesPerZone)]
 }
 
+// ZonePeers returns up to count random members of this node's zone that may be delegates,
+// except for the given ones.
+func (tb *Table) ZonePeers(count int, except []types.InstanceID) []Member {
+	var peers []Member
+	for _, rc := range tb.liveSet.items {
+		if rc.member.Zone == tb.self.Zone && rc.member.eligible() && !slices.Contains(except, rc.member.ID) {
+			peers = append(peers, rc.member)
+		}
+	}
+	tb.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(count, len(peers))]
+}
+
 // DetachedInZone returns the number of detached nodes in this node's zone, including
 // this node.
 func (tb *Table) DetachedInZone() int {
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -42,6 +42,7 @@
 		Incarnation: tb.self.Incarnation,
 		Version:     tb.version,
 		Digest:      tb.digest,
+		Prompt:      tb.prompt,
 		ViewHash:    view.records,
 		HeldHash:    view.held,
 		Members:     []Member{tb.self},
@@ -152,7 +153,7 @@
 	tb.suppressGossip = false
 	if rc, ok := tb.records[message.From]; ok {
 		tb.raiseHeld(rc, message.Version)
-		effects = append(effects, tb.noteVersion(message.Version, rc.member.ID, now)...)
+		effects = append(effects, tb.noteVersion(message.Version, rc.member.ID, message.Prompt, now)...)
 	}
 	return append(effects, tb.learnHeld(message, now)...)
 }
--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -248,7 +248,7 @@
 
 func (ms *mesh) hold(nd *meshNode, version types.Version) {
 	nd.held = version
-	nd.table.SetVersion(version, types.Hash(fmt.Sprint(version)))
+	nd.table.SetVersion(version, types.Hash(fmt.Sprint(version)), false, ms.now)
 }
 
 // live returns the nodes that are running and not paused.
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -17,6 +17,9 @@
 	// Version and Digest identify the configuration in force at the sender.
 	Version types.Version
 	Digest  types.Hash
+	// Prompt is true if Version is to be pulled without waiting for the receiver's own
+	// watch (see Table.SetVersion).
+	Prompt bool
 	// ViewHash is the hash of all records in the sender's table, excluding the
 	// configuration versions that the members hold. HeldHash is the hash of
 	// these versions.
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -73,18 +73,42 @@
 		tb.timing.pushToken = now.Add(pushTokenInterval)
 		tb.pushTokens++
 	}
+	if now.Before(tb.promptUntil) && len(tb.lagging()) > 0 {
+		tb.pendingPushes = max(tb.pendingPushes, 1)
+	}
 	return tb.Push()
 }
 
+// lagging returns the live members that are not known to hold the version in force.
+func (tb *Table) lagging() []*record {
+	var lagging []*record
+	for _, rc := range tb.liveSet.items {
+		if rc.member.HeldVersion < tb.version {
+			lagging = append(lagging, rc)
+		}
+	}
+	return lagging
+}
+
 // Push returns the pending exchanges that spread urgent gossip, at most one for
-// each push token.
+// each push token. While a version spreads ahead of the watches, the members that lack it
+// come first.
 func (tb *Table) Push() []types.Effect {
 	var effects []types.Effect
+	var lagging []*record
+	if tb.prompt && tb.pendingPushes > 0 {
+		lagging = tb.lagging()
+	}
 	for tb.pendingPushes > 0 && tb.pushTokens > 0 {
 		rc, ok := tb.liveSet.pick(tb.rand)
 		if !ok {
 			break
 		}
+		if count := len(lagging); count > 0 {
+			i := tb.rand.IntN(count)
+			rc = lagging[i]
+			lagging = slices.Delete(lagging, i, i+1)
+		}
 		tb.pendingPushes--
 		tb.pushTokens--
 		effects = append(effects, tb.exchangeWith(rc))
--- a/fleet/pull.go
+++ b/fleet/pull.go
@@ -22,6 +22,8 @@
 	pullPatience = 400 * time.Millisecond
 	// maxPulls bounds the number of pulls in flight.
 	maxPulls = 4
+	// promptTime is how long a node pushes a version that spreads ahead of the watches.
+	promptTime = time.Second
 )
 
 // wantedVersion tracks the newest configuration version that this node knows of
@@ -34,6 +36,8 @@
 	pulls    []pull
 	failures int
 	nextPull time.Time
+	// prompt is true if the version spreads ahead of the watches.
+	prompt bool
 }
 
 type pull struct {
@@ -62,13 +66,17 @@
 }
 
 // noteVersion records that a peer has a version which this node lacks, and starts
-// a pull if one is due.
-func (tb *Table) noteVersion(version types.Version, source types.InstanceID, now time.Time) []types.Effect {
+// a pull if one is due. A version that spreads ahead of the watches is pulled at once.
+func (tb *Table) noteVersion(version types.Version, source types.InstanceID, prompt bool, now time.Time) []types.Effect {
 	if version <= tb.version || version < tb.wanted.version {
 		return nil
 	}
 	effects := tb.learnVersion(version, source, now)
 	tb.wanted.addSource(source)
+	if prompt && !tb.wanted.prompt {
+		tb.wanted.prompt = true
+		tb.wanted.nextPull = tb.notBeforePull(now)
+	}
 	return append(effects, tb.tryPull(now)...)
 }
 
@@ -106,8 +114,13 @@
 	if tb.wanted.version > tb.version && tb.wanted.nextPull.Before(due) {
 		due = tb.wanted.nextPull
 	}
+	return tb.notBeforePull(due)
+}
+
+// notBeforePull returns a time, or the later one until which the latest pull is awaited.
+func (tb *Table) notBeforePull(due time.Time) time.Time {
 	if count := len(tb.wanted.pulls); count > 0 && due.Before(tb.wanted.pulls[count-1].until) {
-		due = tb.wanted.pulls[count-1].until
+		return tb.wanted.pulls[count-1].until
 	}
 	return due
 }
--- a/fleet/session_test.go
+++ b/fleet/session_test.go
@@ -60,7 +60,7 @@
 	case "pulled":
 		effects = ss.table.HandlePullEnded(fleet.PullEnded{Peer: peer, Version: version}, ss.now)
 	case "hold":
-		ss.table.SetVersion(version, "digest")
+		ss.table.SetVersion(version, "digest", false, ss.now)
 	case "rejoin":
 		ss.table.Rejoin(ss.now)
 	case "root":
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -62,10 +62,14 @@
 	services map[types.ServiceName][]Member
 	version  types.Version
 	digest   types.Hash
-	rand     *rand.Rand
-	timing   timing
-	joining  joinState
-	wanted   wantedVersion
+	// prompt is true if the version in force spreads ahead of the watches of the platform,
+	// and promptUntil is until when this node pushes it to peers that lack it.
+	prompt      bool
+	promptUntil time.Time
+	rand        *rand.Rand
+	timing      timing
+	joining     joinState
+	wanted      wantedVersion
 	// pullDelay is the time between a peer's first report of a newer
 	// configuration version and the pull of that version, besides the node's pause
 	// in watching the platform. If it is 0, a version is pulled at once.
@@ -191,8 +195,14 @@
 }
 
 // SetVersion records the configuration that is in force on this node and
-// schedules exchanges to announce it.
-func (tb *Table) SetVersion(version types.Version, digest types.Hash) {
+// schedules exchanges to announce it. If ahead is true, the version was read before this
+// node's watch told of it, so that the watches of others may be late as well: peers then pull
+// it at once, and pass it on in the same way.
+func (tb *Table) SetVersion(version types.Version, digest types.Hash, ahead bool, now time.Time) {
+	tb.prompt = ahead || tb.wanted.prompt && version >= tb.wanted.version
+	if tb.prompt {
+		tb.promptUntil = now.Add(promptTime)
+	}
 	tb.version, tb.digest = version, digest
 	tb.setSelf(tb.self.WithHeldVersion(version))
 	tb.wanted.clearUpTo(version)
--- a/node/effect.go
+++ b/node/effect.go
@@ -70,6 +70,8 @@
 		nd.startRootRead(ef.Epoch)
 	case core.PollRoot:
 		go nd.pollRoot()
+	case core.HedgeRoot:
+		go nd.hedgeRoot(ef)
 	case core.AdvanceRollout:
 		go nd.advanceRollout(ef)
 	case core.RecordDeparture:
--- a/node/handler.go
+++ b/node/handler.go
@@ -35,6 +35,7 @@
 		Pull:     nd.servePull,
 		Probe:    nd.serveProbe,
 		Trade:    nd.serveTrade,
+		ReadRoot: nd.serveReadRoot,
 		Meter:    nd.metrics.countControlBytes,
 	}))
 	mux.Handle(nd.operatorHandler())
--- a/node/platform.go
+++ b/node/platform.go
@@ -46,6 +46,8 @@
 	// leaveDelay is how long a stopping node keeps serving after it has tried
 	// to delete its record.
 	leaveDelay = 300 * time.Millisecond
+	// hedgeTimeout is the deadline of a read that a peer makes for this node.
+	hedgeTimeout = 500 * time.Millisecond
 )
 
 // watcher starts and ends the watch of the configuration's root object in the
@@ -140,6 +142,30 @@
 	}
 }
 
+// hedgeRoot asks a peer to read the configuration's root object, and reports whether the
+// platform answered it.
+func (nd *Node) hedgeRoot(effect core.HedgeRoot) {
+	ctx, cancel := context.WithTimeout(nd.runCtx, hedgeTimeout)
+	defer cancel()
+	nd.metrics.count(trace.ReadsHedged)
+	err := nd.peers.ReadRoot(ctx, effect.Address)
+	nd.loop.post(core.RootHedged{Peer: effect.Peer, Err: fault.From(err)})
+}
+
+// serveReadRoot reads the configuration's root object for a peer and offers the
+// configuration to the state machine. The peer learns of the version as others do.
+func (nd *Node) serveReadRoot(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, hedgeTimeout)
+	defer cancel()
+	nd.metrics.count(trace.ReadsServed)
+	object, err := nd.getRoot(ctx)
+	if err != nil {
+		return err
+	}
+	go nd.offerRoot(nd.runCtx, object, conf.ReadByPoll)
+	return nil
+}
+
 // offerRoot fetches the configuration that a root object describes and offers
 // it to the state machine. It returns false if the platform was unavailable; the
 // root object must then be read again.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -21,6 +21,7 @@
 	"sequoiamill.example/sequoiamill/api/peerv1/peerv1connect"
 	"sequoiamill.example/sequoiamill/codec"
 	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/heads"
 	"sequoiamill.example/sequoiamill/quota"
@@ -55,6 +56,9 @@
 	Trade func(ctx context.Context, offer quota.Trade) (quota.Answer, error)
 	// Probe probes another node and reports whether it answered.
 	Probe func(ctx context.Context, id types.InstanceID, address types.Address) bool
+	// ReadRoot reads the platform's configuration root for a peer. It returns an error if
+	// the platform does not answer.
+	ReadRoot func(ctx context.Context) error
 	// Meter counts the bytes of the requests and answers. If it is nil, nothing is
 	// counted.
 	Meter Meter
@@ -94,6 +98,13 @@
 	return connect.NewResponse(&peerv1.ProbeResponse{Reached: reached}), nil
 }
 
+// ReadRoot serves a hedged read: it reads the platform's configuration root for the
+// requesting peer.
+func (sv *server) ReadRoot(ctx context.Context, _ *connect.Request[peerv1.ReadRootRequest]) (*connect.Response[peerv1.ReadRootResponse], error) {
+	err := sv.service.ReadRoot(ctx)
+	return connect.NewResponse(&peerv1.ReadRootResponse{Answered: err == nil}), nil
+}
+
 // Pull returns the configuration in force, excluding the resource bodies that the
 // requesting peer already holds.
 func (sv *server) Pull(_ context.Context, request *connect.Request[peerv1.PullRequest]) (*connect.Response[peerv1.PullResponse], error) {
@@ -191,6 +202,19 @@
 	return reply.Msg.GetReached(), nil
 }
 
+// ReadRoot asks the peer at an address to read the platform's configuration root. It
+// returns an error if the platform does not answer the peer.
+func (cl *Client) ReadRoot(ctx context.Context, address types.Address) error {
+	reply, err := cl.rpcClient(address).ReadRoot(ctx, newRequest(cl, &peerv1.ReadRootRequest{}))
+	if err != nil {
+		return codec.FaultFromRPC(err)
+	}
+	if !reply.Msg.GetAnswered() {
+		return fault.New(fault.PlatformUnavailable, "the platform does not answer the peer")
+	}
+	return nil
+}
+
 // Pull fetches the configuration in force on the peer at an address. held is the
 // configuration that the client already holds. The peer omits the resource bodies
 // that are in held, and Pull adds them to the result.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -13,6 +13,7 @@
 
 	"sequoiamill.example/sequoiamill/codec"
 	"sequoiamill.example/sequoiamill/conf"
+	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/fleet"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
@@ -89,3 +90,18 @@
 	bodies := len(codec.BundleToProto(offered, types.NewSet(known...)).GetBodies())
 	is.Equal(bodies, 1)
 }
+
+// TestReadRootTellsWhetherThePlatformAnswers checks both ends of a hedged read.
+func TestReadRootTellsWhetherThePlatformAnswers(t *testing.T) {
+	is := is.New(t)
+	var platformErr error
+	mux := http.NewServeMux()
+	mux.Handle(NewHandler(Service{ReadRoot: func(context.Context) error { return platformErr }}))
+	listener := httptest.NewServer(mux)
+	defer listener.Close()
+	address := types.Address(strings.TrimPrefix(listener.URL, "http://"))
+	cl := NewClient(trace.NewClock(), time.Now)
+	is.NoErr(cl.ReadRoot(t.Context(), address))
+	platformErr = fault.New(fault.PlatformUnavailable, "503")
+	is.True(fault.Is(cl.ReadRoot(t.Context(), address), fault.PlatformUnavailable))
+}
--- a/trace/count.go
+++ b/trace/count.go
@@ -42,6 +42,10 @@
 	BodiesRefused
 	BodiesGivenUp
 	BodiesLate
+	// ReadsHedged counts the reads of the platform that peers were asked for, ReadsServed
+	// those that this node made for peers.
+	ReadsHedged
+	ReadsServed
 	counterCount
 )
 
@@ -78,6 +82,8 @@
 	BodiesRefused:       "bodies_refused",
 	BodiesGivenUp:       "bodies_given_up",
 	BodiesLate:          "bodies_late",
+	ReadsHedged:         "reads_hedged",
+	ReadsServed:         "reads_served",
 }
 
 // Counters returns every counter.
--- a/trace/event.go
+++ b/trace/event.go
@@ -68,6 +68,7 @@
 	BodyRefused
 	BodyGivenUp
 	BodyLate
+	ReadHedged
 	kindCount
 )
 
@@ -119,6 +120,7 @@
 	BodyRefused:         "bodies-refused",
 	BodyGivenUp:         "bodies-given-up",
 	BodyLate:            "bodies-late",
+	ReadHedged:          "read-hedged",
 }
 
 // String returns the kebab-case name of the kind, which the timeline shows.
