Let a standby read the store if the delegate of a zone falls silent

If all nodes whose watches are current lose power at once, in every zone, nobody reads the store until failure detection finds them dead, some 6 s later. Callers of the other nodes get 404 on added routes meanwhile. The same cause as with readers that are cut off: the duty of one node, whose loss is noticed later than the bound allows.

Fix: a delegate sends a message to one node of its zone after each answered read. That node, the standby, is the first by rank without a current watch; it reads by itself 1.35 s after the last message, and each second from then on. A read of any node that is not answered is hedged, and makes it step back from duties after 0.5 s, not only a delegate's.

Cost: one message a second and zone, inside the zone; no call to the store unless the delegate is silent.

--- a/core/converge_test.go
+++ b/core/converge_test.go
@@ -377,6 +377,28 @@
 	}
 }
 
+// TestVersionArrivesWhileAllReadersAreSilent guards against versions that no node reads until
+// peers hold the readers to be dead: all nodes whose watches are not late lose power at once.
+func TestVersionArrivesWhileAllReadersAreSilent(t *testing.T) {
+	sizes := []struct{ nodes, zones int }{{6, 1}, {12, 1}, {12, 3}, {18, 3}, {30, 1}}
+	const phases = 12
+	for _, size := range sizes {
+		for phase := range phases {
+			ms := newVersionMeshOf(uint64(phase), size.nodes, size.zones)
+			ms.advance(time.Duration(phase) * tickTime)
+			for _, nd := range ms.readersOf() {
+				nd.up, nd.disturbed = false, true
+			}
+			ms.advance(4 * callTime)
+			ms.write()
+			ms.advance(applyTime)
+			if late := ms.late(); len(late) > 0 {
+				t.Errorf("%d nodes, %d zones, phase %d: the version is late on %v", size.nodes, size.zones, phase, late)
+			}
+		}
+	}
+}
+
 // TestVersionArrivesWhileReadersAreCutOff guards against versions that are late on nodes
 // which reach the store, as those that read it for them reach their peers and not the store.
 func TestVersionArrivesWhileReadersAreCutOff(t *testing.T) {
--- a/core/reach.go
+++ b/core/reach.go
@@ -82,9 +82,10 @@
 	// askedAt is when the pending read began, or zero if none is pending.
 	askedAt  time.Time
 	delegate bool
-	// succeeded is true if this node has just taken over a watch and is to read once.
-	succeeded bool
-	hedge     hedge
+	// once is true if this node is to read once, though it may not be a delegate.
+	once    bool
+	hedge   hedge
+	standby standby
 }
 
 // hedge is what a node has asked of its peers about the pending read.
@@ -99,27 +100,27 @@
 // them.
 func (st *State) pollRoot(now time.Time) []types.Effect {
 	po := &st.poller
-	effects := st.delegatePolling(now)
+	effects := append(st.delegatePolling(now), st.awaitDelegate(now)...)
 	if !po.askedAt.IsZero() {
 		return append(effects, st.awaitRead(now)...)
 	}
 	self := st.fleet.Self()
 	polls := po.delegate && po.interval > 0 || self.Detached && !self.Leaving
-	if !po.succeeded && (!polls || now.Before(po.due)) {
+	if !po.once && (!polls || now.Before(po.due)) {
 		return effects
 	}
-	po.askedAt, po.succeeded, po.hedge = now, false, hedge{}
+	po.askedAt, po.once, po.hedge = now, false, hedge{}
 	po.due = now.Add(po.wait(self.Detached, st.fleet.DetachedInZone()))
 	return append(effects, PollRoot{})
 }
 
 // awaitRead asks peers to read the root if the pending read is not answered soon. It does
-// not wait until the delegate steps down: until then, no node reads for the zone.
+// not wait until this node steps down: until then, no node may read for the zone.
 func (st *State) awaitRead(now time.Time) []types.Effect {
 	po := &st.poller
 	wait := now.Sub(po.askedAt)
 	switch {
-	case !po.delegate:
+	case st.fleet.Self().Detached:
 		return nil
 	case wait >= readPatience:
 		return st.detach(fault.New(fault.PlatformUnavailable, "no answer within %s", readPatience))
@@ -147,10 +148,6 @@
 	return []types.Effect{st.hedgeEvent(event.Peer, outcome)}
 }
 
-func (st *State) hedgeEvent(peer types.InstanceID, detail string) types.Effect {
-	return trace.Event{Kind: trace.ReadHedged, Subject: peer, Detail: detail}
-}
-
 // delegatePolling notes whether this node is a delegate. One that has just been elected
 // reads at once. It reports a change if delegates poll.
 func (st *State) delegatePolling(now time.Time) []types.Effect {
@@ -181,6 +178,9 @@
 	return po.interval - spread/2 + time.Duration(po.rand.Int64N(int64(spread)+1))
 }
 
+// longestWait returns the longest time between two reads of a delegate.
+func (po *rootPoller) longestWait() time.Duration { return po.interval + po.interval/readSpread/2 }
+
 // rootReadEnded handles the end of a read or of a watch of the platform's configuration
 // root.
 func (st *State) rootReadEnded(event types.Event, now time.Time) []types.Effect {
@@ -200,6 +200,9 @@
 		return st.detach(event.Err)
 	}
 	if !st.fleet.Self().Detached {
+		if st.poller.delegate {
+			return st.tellStandby()
+		}
 		return nil
 	}
 	recovered := trace.Event{Kind: trace.PlatformRecovered, Subject: st.fleet.Self().ID, Detail: "read"}
--- a/core/state.go
+++ b/core/state.go
@@ -307,10 +307,12 @@
 	var effects []types.Effect
 	switch ev := event.(type) {
 	case fleet.ExchangeReceived:
+		st.heard(ev.Message.From, now)
 		effects = st.fleet.HandleExchangeReceived(ev, now)
 		effects = append(effects, st.evidenceReceived(ev.Message.Blame, now)...)
 		effects = append(effects, st.reportsReceived(ev.Message.Rollouts, now)...)
 	case fleet.ExchangeAnswered:
+		st.heard(ev.Message.From, now)
 		effects = st.fleet.HandleExchangeAnswered(ev, now)
 		effects = append(effects, st.evidenceReceived(ev.Message.Blame, now)...)
 		effects = append(effects, st.reportsReceived(ev.Message.Rollouts, now)...)
--- a/core/watch.go
+++ b/core/watch.go
@@ -17,7 +17,7 @@
 	}
 	// A new watch takes longer than a read to tell of a version.
 	if st.watch.Cached && wanted.On && !wanted.Cached && st.fleet.Settled() {
-		st.poller.succeeded = true
+		st.poller.once = true
 	}
 	st.watch = wanted
 	detail := "ended"
--- a/fleet/delegate.go
+++ b/fleet/delegate.go
@@ -102,6 +102,34 @@
 	return eligible[:min(len(eligible), 2*tb.delegatesPerZone)]
 }
 
+// ZoneRanking returns the members of this node's zone that may be delegates, the one with
+// the highest rendezvous rank first. It includes this node.
+func (tb *Table) ZoneRanking() []Member {
+	eligible := []record{{member: tb.self, rank: rank(tb.self.ID, tb.self.Zone)}}
+	for _, rc := range tb.liveSet.items {
+		if rc.member.Zone == tb.self.Zone {
+			eligible = append(eligible, record{member: rc.member, rank: rc.rank})
+		}
+	}
+	slices.SortFunc(eligible, func(a, b record) int { return cmp.Compare(b.rank, a.rank) })
+	var members []Member
+	for _, rc := range eligible {
+		if rc.member.eligible() {
+			members = append(members, rc.member)
+		}
+	}
+	return members
+}
+
+// Contact returns the exchange with a member that is due now, whatever the regular probes.
+func (tb *Table) Contact(id types.InstanceID) []types.Effect {
+	rc, ok := tb.records[id]
+	if !ok {
+		return nil
+	}
+	return []types.Effect{tb.exchangeWith(rc)}
+}
+
 // ZonePeers returns up to count random members of this node's zone that may be delegates,
 // except for the given ones.
 func (tb *Table) ZonePeers(count int, except []types.InstanceID) []Member {
