Spread a version ahead of the watches only if these are late

A read now and then finds a version some milliseconds before the watches tell of it, and in a series of versions while the watches pause.

--- a/conf/active.go
+++ b/conf/active.go
@@ -12,8 +12,10 @@
 
 // The ways in which a node reads the configuration.
 const (
-	ReadByWatch    Reading = "watch"
-	ReadByPoll     Reading = "poll"
+	ReadByWatch Reading = "watch"
+	ReadByPoll  Reading = "poll"
+	// ReadInPlace is a read in place of a node whose reads are missing or not answered.
+	ReadInPlace    Reading = "read for another"
 	ReadAtJoin     Reading = "join"
 	ReadAfterWrite Reading = "write"
 )
--- a/core/converge_test.go
+++ b/core/converge_test.go
@@ -162,7 +162,7 @@
 		case fleet.PullConfig:
 			ms.pull(nd, ef)
 		case core.PollRoot:
-			ms.read(nd, func(err *fault.Error) { ms.step(nd, core.RootPolled{Err: err}) })
+			ms.read(nd, ef.Reading, func(err *fault.Error) { ms.step(nd, core.RootPolled{Err: err}) })
 		case core.HedgeRoot:
 			ms.hedge(nd, ef)
 		case core.WatchPlatform:
@@ -173,7 +173,7 @@
 
 // read reads the store for a node, offers it the version and reports how the read ended. A
 // store that is silent reports nothing.
-func (ms *versionMesh) read(nd *versionNode, ended func(*fault.Error)) {
+func (ms *versionMesh) read(nd *versionNode, reading conf.Reading, ended func(*fault.Error)) {
 	wait := callTime
 	if nd.store == storeSlow {
 		wait = slowTime
@@ -185,7 +185,7 @@
 		case storeRefuses:
 			ended(fault.New(fault.PlatformUnavailable, "503"))
 		default:
-			ms.offerRead(nd, version, conf.ReadByPoll)
+			ms.offerRead(nd, version, reading)
 			ended(nil)
 		}
 	})
@@ -195,7 +195,7 @@
 func (ms *versionMesh) hedge(nd *versionNode, ef core.HedgeRoot) {
 	peer := ms.nodeAt(ef.Address)
 	ms.after(peer, callTime, func() {
-		ms.read(peer, func(err *fault.Error) {
+		ms.read(peer, conf.ReadInPlace, func(err *fault.Error) {
 			ms.after(nd, callTime, func() { ms.step(nd, core.RootHedged{Peer: ef.Peer, Err: err}) })
 		})
 	})
@@ -377,6 +377,27 @@
 	}
 }
 
+// TestVersionArrivesWhileWatchesAreSilent guards against versions that only delegates read, and
+// for which all others wait for their watches.
+func TestVersionArrivesWhileWatchesAreSilent(t *testing.T) {
+	sizes := []struct{ nodes, zones int }{{6, 1}, {12, 3}, {30, 1}}
+	const phases = 12
+	for _, size := range sizes {
+		for phase := range phases {
+			ms := newVersionMeshOf(uint64(phase), size.nodes, size.zones)
+			ms.advance(time.Duration(phase) * tickTime)
+			for _, nd := range ms.nodes {
+				nd.watchLost = true
+			}
+			ms.write()
+			ms.advance(applyTime)
+			if late := ms.late(); len(late) > 0 {
+				t.Errorf("%d nodes, %d zones, phase %d: the version is late on %v", size.nodes, size.zones, phase, late)
+			}
+		}
+	}
+}
+
 // TestVersionArrivesWhileAllReadersAreSilent guards against versions that no node reads until
 // peers hold the readers to be dead: all nodes whose watches are not late lose power at once.
 func TestVersionArrivesWhileAllReadersAreSilent(t *testing.T) {
--- a/core/reach.go
+++ b/core/reach.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sequoiamill.example/sequoiamill/conf"
 	"sequoiamill.example/sequoiamill/fault"
 	"sequoiamill.example/sequoiamill/trace"
 	"sequoiamill.example/sequoiamill/types"
@@ -27,8 +28,8 @@
 )
 
 // PollRoot is the effect to read the platform's configuration root, offer it to the
-// state machine and report the end of the read with RootPolled.
-type PollRoot struct{}
+// state machine as read in the given way and report the end of the read with RootPolled.
+type PollRoot struct{ Reading conf.Reading }
 
 // Effect implements types.Effect.
 func (PollRoot) Effect() {}
@@ -109,9 +110,13 @@
 	if !po.once && (!polls || now.Before(po.due)) {
 		return effects
 	}
+	reading := conf.ReadByPoll
+	if po.once {
+		reading = conf.ReadInPlace
+	}
 	po.askedAt, po.once, po.hedge = now, false, hedge{}
 	po.due = now.Add(po.wait(self.Detached, st.fleet.DetachedInZone()))
-	return append(effects, PollRoot{})
+	return append(effects, PollRoot{Reading: reading})
 }
 
 // awaitRead asks peers to read the root if the pending read is not answered soon. It does
--- a/core/state.go
+++ b/core/state.go
@@ -28,6 +28,7 @@
 	upstream  localUpstream
 	record    recordGate
 	poller    rootPoller
+	ahead     aheadCheck
 	rules     ruleCache
 	// candidates is a buffer that pick reuses to avoid allocations.
 	candidates    []route.Candidate
@@ -260,6 +261,7 @@
 	effects = append(effects, st.keys.ledger.Sweep(now)...)
 	effects = append(effects, st.electWatch()...)
 	effects = append(effects, st.tickLimits(now)...)
+	effects = append(effects, st.spreadAhead(now)...)
 	return append(effects, st.pollRoot(now)...)
 }
 
@@ -284,6 +286,7 @@
 // adopts the configuration, offered updates everything that depends on it.
 func (st *State) offered(offer conf.VersionOffered, now time.Time) []types.Effect {
 	effects := st.config.Offer(offer, now)
+	adopted := false
 	var events []types.Effect
 	for _, effect := range effects {
 		switch ef := effect.(type) {
@@ -292,7 +295,8 @@
 			st.calls.Prune(ef.Snapshot)
 			st.splitter.Prune(ef.Snapshot)
 			st.setLimits(ef.Snapshot, now)
-			ahead := offer.FromPlatform && offer.Reading == conf.ReadByPoll
+			adopted = true
+			ahead := offer.FromPlatform && offer.Reading == conf.ReadInPlace
 			st.fleet.SetVersion(ef.Snapshot.Version(), ef.Snapshot.Digest(), ahead, now)
 			events = append(events, trace.Event{Kind: trace.ConfigAdopted, Version: ef.Snapshot.Version(), Detail: offer.Origin()})
 			events = append(events, st.refreshUpstream(now)...)
@@ -300,6 +304,7 @@
 			events = append(events, trace.Event{Kind: trace.ConfigRefused, Version: ef.Version, Detail: ef.Err.Error()})
 		}
 	}
+	st.ahead.noteOffer(offer, adopted, st.config.Current().Version(), now)
 	return append(effects, events...)
 }
 
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -195,9 +195,8 @@
 }
 
 // SetVersion records the configuration that is in force on this node and
-// schedules exchanges to announce it. If ahead is true, the version was read before this
-// node's watch told of it, so that the watches of others may be late as well: peers then pull
-// it at once, and pass it on in the same way.
+// schedules exchanges to announce it. If ahead is true, it spreads ahead of the watches of
+// the platform, which may be late: peers pull it at once, and pass it on in the same way.
 func (tb *Table) SetVersion(version types.Version, digest types.Hash, ahead bool, now time.Time) {
 	tb.prompt = ahead || tb.wanted.prompt && version >= tb.wanted.version
 	if tb.prompt {
@@ -209,6 +208,13 @@
 	tb.schedulePush()
 }
 
+// SpreadAhead lets the version in force spread ahead of the watches of the platform.
+func (tb *Table) SpreadAhead(now time.Time) []types.Effect {
+	tb.prompt, tb.promptUntil = true, now.Add(promptTime)
+	tb.schedulePush()
+	return tb.Push()
+}
+
 // SetUpstream sets the service and the upstream of this node and announces them
 // to peers.
 func (tb *Table) SetUpstream(service types.ServiceName, upstream types.Option[Upstream]) {
--- a/node/effect.go
+++ b/node/effect.go
@@ -69,7 +69,7 @@
 	case core.ReadRoot:
 		nd.startRootRead(ef.Epoch)
 	case core.PollRoot:
-		go nd.pollRoot()
+		go nd.pollRoot(ef.Reading)
 	case core.HedgeRoot:
 		go nd.hedgeRoot(ef)
 	case core.AdvanceRollout:
--- a/node/platform.go
+++ b/node/platform.go
@@ -133,12 +133,12 @@
 }
 
 // pollRoot reads the configuration's root object once, reports whether the platform
-// answered, and offers the configuration to the state machine.
-func (nd *Node) pollRoot() {
+// answered, and offers the configuration to the state machine as read in the given way.
+func (nd *Node) pollRoot(reading conf.Reading) {
 	object, err := nd.getRoot(nd.runCtx)
 	nd.loop.post(core.RootPolled{Err: fault.From(err)})
 	if err == nil {
-		nd.offerRoot(nd.runCtx, object, conf.ReadByPoll)
+		nd.offerRoot(nd.runCtx, object, reading)
 	}
 }
 
@@ -162,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	go nd.offerRoot(nd.runCtx, object, conf.ReadByPoll)
+	go nd.offerRoot(nd.runCtx, object, conf.ReadInPlace)
 	return nil
 }
 
