Let every node notice when nobody reads the store for its zone

Cause: that the delegate of a zone no longer reads was noticed by one node, its standby. The delegate, the other current watch and the standby are the first three of one ranking; if they lose power together, nobody reads until failure detection has taken enough of them out of the ranking, and the cached watches of the others are seconds late.

Each answered read is now reported to all nodes of the reader's zone, along a tree of fan-out 8 in the order of the ranks, and travels with all exchanges as the reader and the age of the answer. A node that hears of no read for 1.25 s reads in the delegate's place; nodes follow each other in groups that double in size, 50 ms apart, so that no list of readers is left to be lost. A reader that got no answer counts as heard, since the next one by rank reads then; so a store that is silent does not make all nodes read at once.

--- a/codec/peer.go
+++ b/codec/peer.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -48,9 +49,24 @@
 		wire.Members = append(wire.Members, memberToProto(member))
 	}
 	wire.Rollouts = rolloutsToProto(message.Rollouts)
+	if report, ok := message.RootRead.Get(); ok {
+		wire.RootRead = &peerv1.RootReport{Reader: string(report.Reader), AgeMillis: uint32(min(max(report.Age.Milliseconds(), 0), math.MaxUint32))}
+	}
 	return wire
 }
 
+// rootReportFromProto returns the report of a read, or none if the message has none.
+func rootReportFromProto(wire *peerv1.RootReport) (types.Option[fleet.RootReport], error) {
+	if wire == nil {
+		return types.None[fleet.RootReport](), nil
+	}
+	if wire.GetReader() == "" || len(wire.GetReader()) > maxNameLength {
+		return types.None[fleet.RootReport](), fault.New(fault.InvalidInput, "peer message: the reader's name is missing or too long")
+	}
+	age := time.Duration(wire.GetAgeMillis()) * time.Millisecond
+	return types.Some(fleet.RootReport{Reader: types.InstanceID(wire.GetReader()), Age: age}), nil
+}
+
 // MessageFromProto converts a gossip message and the reading of the sender's
 // clock from their protobuf form. It returns an error if the message is invalid.
 func MessageFromProto(wire *peerv1.Message) (fleet.Message, trace.Stamp, error) {
@@ -90,6 +106,9 @@
 	if message.Rollouts, err = rolloutsFromProto(wire.GetRollouts()); err != nil {
 		return fleet.Message{}, trace.Stamp{}, err
 	}
+	if message.RootRead, err = rootReportFromProto(wire.GetRootRead()); err != nil {
+		return fleet.Message{}, trace.Stamp{}, err
+	}
 	stamp := trace.Stamp{Wall: time.UnixMicro(wire.GetStamp().GetWallMicros()), Logical: wire.GetStamp().GetLogical()}
 	return message, stamp, nil
 }
--- a/codec/peer_test.go
+++ b/codec/peer_test.go
@@ -30,6 +30,7 @@
 			{ID: "b", Incarnation: 1, Status: fleet.Dead, HeldVersion: 6, GoneFor: time.Hour},
 		},
 		Reports:          []fleet.VersionReport{{ID: "b", HeldVersion: 6}},
+		RootRead:         types.Some(fleet.RootReport{Reader: "b", Age: 1200 * time.Millisecond}),
 		BucketHashes:     []uint64{1, 2},
 		HeldBucketHashes: []uint64{3, 4},
 		Rollouts: []canary.Report{{
@@ -91,6 +92,7 @@
 		"too many failures": func(wire *peerv1.Message) { wire.Rollouts[0].Tallies[0].Routes[0].Failures = 4 },
 		"tally of nobody":   func(wire *peerv1.Message) { wire.Rollouts[0].Tallies[0].Instance = "" },
 		"nobody crossed":    func(wire *peerv1.Message) { wire.Rollouts[0].Crossed[0] = "" },
+		"read by nobody":    func(wire *peerv1.Message) { wire.RootRead.Reader = "" },
 		"clear of nobody":   func(wire *peerv1.Message) { wire.Blame.Clears[0].Instance = "" },
 	}
 	for name, invalidate := range cases {
--- a/core/converge_test.go
+++ b/core/converge_test.go
@@ -30,6 +30,8 @@
 	nodes  []*versionNode
 	due    []dueStep
 	stored types.Version
+	// reads is the number of reads of the store.
+	reads int
 }
 
 type dueStep struct {
@@ -174,6 +176,7 @@
 // read reads the store for a node, offers it the version and reports how the read ended. A
 // store that is silent reports nothing.
 func (ms *versionMesh) read(nd *versionNode, reading conf.Reading, ended func(*fault.Error)) {
+	ms.reads++
 	wait := callTime
 	if nd.store == storeSlow {
 		wait = slowTime
--- a/core/join.go
+++ b/core/join.go
@@ -54,6 +54,9 @@
 		switch ef := effect.(type) {
 		case fleet.StatusChanged:
 			events = append(events, trace.Event{Kind: trace.MemberChanged, Subject: ef.Member.ID, Detail: stateOf(ef.Member)})
+			if ef.Member.Detached {
+				st.readUnanswered(ef.Member, now)
+			}
 		case fleet.Duplicated:
 			detail := "an earlier process still runs at " + string(ef.Older.Address)
 			events = append(events, trace.Event{Kind: trace.InstanceDuplicated, Subject: ef.Older.ID, Detail: detail})
--- a/core/reach.go
+++ b/core/reach.go
@@ -84,9 +84,11 @@
 	askedAt  time.Time
 	delegate bool
 	// once is true if this node is to read once, though it may not be a delegate.
-	once    bool
+	once bool
+	// standIn is true if this node reads because it has heard of no read.
+	standIn bool
 	hedge   hedge
-	standby standby
+	news    readNews
 }
 
 // hedge is what a node has asked of its peers about the pending read.
@@ -101,7 +103,7 @@
 // them.
 func (st *State) pollRoot(now time.Time) []types.Effect {
 	po := &st.poller
-	effects := append(st.delegatePolling(now), st.awaitDelegate(now)...)
+	effects := append(st.delegatePolling(now), st.awaitNews(now)...)
 	if !po.askedAt.IsZero() {
 		return append(effects, st.awaitRead(now)...)
 	}
@@ -115,12 +117,16 @@
 		reading = conf.ReadInPlace
 	}
 	po.askedAt, po.once, po.hedge = now, false, hedge{}
+	if reading != conf.ReadInPlace {
+		po.standIn = false
+	}
 	po.due = now.Add(po.wait(self.Detached, st.fleet.DetachedInZone()))
 	return append(effects, PollRoot{Reading: reading})
 }
 
 // awaitRead asks peers to read the root if the pending read is not answered soon. It does
-// not wait until this node steps down: until then, no node may read for the zone.
+// not wait until this node steps down: until then, no node may read for the zone. The peers
+// of a node that reads because it has heard of no read do so as well, without being asked.
 func (st *State) awaitRead(now time.Time) []types.Effect {
 	po := &st.poller
 	wait := now.Sub(po.askedAt)
@@ -129,7 +135,7 @@
 		return nil
 	case wait >= readPatience:
 		return st.detach(fault.New(fault.PlatformUnavailable, "no answer within %s", readPatience))
-	case wait < hedgeWait || po.hedge.answered:
+	case wait < hedgeWait || po.hedge.answered || po.standIn:
 		return nil
 	}
 	var effects []types.Effect
@@ -191,7 +197,7 @@
 func (st *State) rootReadEnded(event types.Event, now time.Time) []types.Effect {
 	switch ev := event.(type) {
 	case RootPolled:
-		return st.rootPolled(ev)
+		return st.rootPolled(ev, now)
 	case RootHedged:
 		return st.rootHedged(ev, now)
 	default:
@@ -199,19 +205,17 @@
 	}
 }
 
-func (st *State) rootPolled(event RootPolled) []types.Effect {
-	st.poller.askedAt = time.Time{}
+func (st *State) rootPolled(event RootPolled, now time.Time) []types.Effect {
+	st.poller.askedAt, st.poller.standIn = time.Time{}, false
 	if event.Err != nil {
 		return st.detach(event.Err)
 	}
 	if !st.fleet.Self().Detached {
-		if st.poller.delegate {
-			return st.tellStandby()
-		}
-		return nil
+		return st.readAnswered(now)
 	}
 	recovered := trace.Event{Kind: trace.PlatformRecovered, Subject: st.fleet.Self().ID, Detail: "read"}
-	return append(st.fleet.SetDetached(false), recovered)
+	effects := append(st.fleet.SetDetached(false), recovered)
+	return append(effects, st.readAnswered(now)...)
 }
 
 // detach announces that the platform does not answer this node's reads, so that other
--- a/core/state.go
+++ b/core/state.go
@@ -187,7 +187,8 @@
 	effects = st.recordKeyOutcomes(append(effects, st.apply(event, now)...))
 	st.updateKeyCoverage(event, now)
 	effects = append(effects, st.checkDrained(now)...)
-	return st.addReports(st.addEvidence(effects, event, now), now)
+	effects = st.addNews(st.addEvidence(effects, event, now), event, now)
+	return st.addReports(effects, now)
 }
 
 func (st *State) apply(event types.Event, now time.Time) []types.Effect {
@@ -305,6 +306,9 @@
 		}
 	}
 	st.ahead.noteOffer(offer, adopted, st.config.Current().Version(), now)
+	if offer.FromPlatform && offer.Reading == conf.ReadInPlace {
+		events = append(events, st.readAnswered(now)...)
+	}
 	return append(effects, events...)
 }
 
@@ -312,13 +316,13 @@
 	var effects []types.Effect
 	switch ev := event.(type) {
 	case fleet.ExchangeReceived:
-		st.heard(ev.Message.From, now)
 		effects = st.fleet.HandleExchangeReceived(ev, now)
+		effects = append(effects, st.newsReceived(ev.Message, now)...)
 		effects = append(effects, st.evidenceReceived(ev.Message.Blame, now)...)
 		effects = append(effects, st.reportsReceived(ev.Message.Rollouts, now)...)
 	case fleet.ExchangeAnswered:
-		st.heard(ev.Message.From, now)
 		effects = st.fleet.HandleExchangeAnswered(ev, now)
+		effects = append(effects, st.newsReceived(ev.Message, now)...)
 		effects = append(effects, st.evidenceReceived(ev.Message.Blame, now)...)
 		effects = append(effects, st.reportsReceived(ev.Message.Rollouts, now)...)
 	case fleet.ExchangeFailed:
--- a/fleet/delegate.go
+++ b/fleet/delegate.go
@@ -34,11 +34,15 @@
 // nodes with the highest rendezvous ranks in its zone. Unlike IsDelegate, it does not wait
 // until the view has settled.
 func (tb *Table) RanksWithin(count int) bool {
-	if tb.higherStale {
-		tb.higher = tb.countHigher()
-		tb.higherStale = false
-	}
-	return tb.self.eligible() && tb.higher < count
+	rank, eligible := tb.ZoneRank()
+	return eligible && rank < count
+}
+
+// ZoneRank returns the number of nodes with a higher rendezvous rank in this node's zone that
+// may be delegates, or false if this node may not be a delegate.
+func (tb *Table) ZoneRank() (int, bool) {
+	index := slices.Index(tb.ZoneRanking(), tb.self.ID)
+	return index, index >= 0
 }
 
 // Settled reports whether the view has stopped growing quickly since this node joined.
@@ -56,18 +60,6 @@
 	tb.settled = now.Sub(tb.timing.lastGrowth) >= settleDelay
 }
 
-// countHigher returns the number of eligible nodes of this node's zone with a higher rank.
-func (tb *Table) countHigher() int {
-	higher := 0
-	own := rank(tb.self.ID, tb.self.Zone)
-	for _, rc := range tb.liveSet.items {
-		if rc.member.Zone == tb.self.Zone && rc.rank > own && rc.member.eligible() {
-			higher++
-		}
-	}
-	return higher
-}
-
 // eligible reports whether the member may be a delegate of its zone.
 func (m *Member) eligible() bool { return m.Status == Alive && !m.Leaving && !m.Detached }
 
@@ -103,22 +95,30 @@
 }
 
 // ZoneRanking returns the members of this node's zone that may be delegates, the one with
-// the highest rendezvous rank first. It includes this node.
-func (tb *Table) ZoneRanking() []Member {
-	eligible := []record{{member: tb.self, rank: rank(tb.self.ID, tb.self.Zone)}}
+// the highest rendezvous rank first. It includes this node. The caller must not change it.
+func (tb *Table) ZoneRanking() []types.InstanceID {
+	if !tb.rankingStale {
+		return tb.ranking
+	}
+	type ranked struct {
+		id   types.InstanceID
+		rank uint64
+	}
+	var eligible []ranked
+	if tb.self.eligible() {
+		eligible = append(eligible, ranked{tb.self.ID, rank(tb.self.ID, tb.self.Zone)})
+	}
 	for _, rc := range tb.liveSet.items {
-		if rc.member.Zone == tb.self.Zone {
-			eligible = append(eligible, record{member: rc.member, rank: rc.rank})
+		if rc.member.Zone == tb.self.Zone && rc.member.eligible() {
+			eligible = append(eligible, ranked{rc.member.ID, rc.rank})
 		}
 	}
-	slices.SortFunc(eligible, func(a, b record) int { return cmp.Compare(b.rank, a.rank) })
-	var members []Member
-	for _, rc := range eligible {
-		if rc.member.eligible() {
-			members = append(members, rc.member)
-		}
+	slices.SortFunc(eligible, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	tb.ranking, tb.rankingStale = make([]types.InstanceID, 0, len(eligible)), false
+	for _, item := range eligible {
+		tb.ranking = append(tb.ranking, item.id)
 	}
-	return members
+	return tb.ranking
 }
 
 // Contact returns the exchange with a member that is due now, whatever the regular probes.
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -41,6 +41,9 @@
 	HeldBucketHashes []uint64
 	// Blame is evidence on requests that end upstreams.
 	Blame blame.Report
+	// RootRead is the latest answered read of the platform's configuration root that the
+	// sender knows of, if any.
+	RootRead types.Option[RootReport]
 	// Rollouts is what the sender knows of orders to move services to other versions.
 	Rollouts []canary.Report
 	// Repair is true if the message has the records of the buckets that
@@ -48,6 +51,13 @@
 	Repair bool
 }
 
+// RootReport tells that a node has read the platform's configuration root. Age is the time
+// since the platform answered.
+type RootReport struct {
+	Reader types.InstanceID
+	Age    time.Duration
+}
+
 // SendExchange is the effect to send a gossip message to a peer and wait for
 // its reply. Peer is empty if only the address is known.
 type SendExchange struct {
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -79,10 +79,10 @@
 	pendingPushes    int
 	pushTokens       int
 	delegatesPerZone int
-	// higher caches the number of eligible nodes of this node's zone with a higher rank.
-	// It must be recomputed if higherStale is true.
-	higher      int
-	higherStale bool
+	// ranking caches the result of ZoneRanking. It must be computed anew if rankingStale is
+	// true.
+	ranking      []types.InstanceID
+	rankingStale bool
 	// settled is true if the view has stopped growing quickly.
 	settled bool
 }
@@ -130,7 +130,7 @@
 		services:         map[types.ServiceName][]Member{},
 		rand:             source,
 		pushTokens:       maxPushTokens,
-		higherStale:      true,
+		rankingStale:     true,
 		delegatesPerZone: defaultDelegates,
 	}
 	for _, opt := range opts {
@@ -243,7 +243,7 @@
 	hash := hashOf(self)
 	tb.bucketHashes[bucket] = tb.bucketHashes[bucket].xor(tb.selfHash).xor(hash)
 	tb.self, tb.selfHash = self, hash
-	tb.higherStale = true
+	tb.rankingStale = true
 	tb.invalidateServices(old, self)
 }
 
@@ -285,7 +285,7 @@
 	tb.moveToSet(rc, old)
 	tb.recordFormer(old, member, now)
 	tb.invalidateServices(old, member)
-	tb.higherStale = true
+	tb.rankingStale = true
 	withdrawn := known && member.withdraws(old)
 	if !tb.suppressGossip {
 		tb.queue.enqueue(rc, true, withdrawn)
