Use no upstream that may have departed before its node restarted

Cause: a departure is acknowledged after 0.5 s even if the store does not take its record. If all processes are killed then, nobody remembers it: the record lacks it and the peers are gone. The restarted node opened its gate after one second without its record, and one heartbeat of before the departure made the target usable.

A node that has not read its record in time now doubts its upstream. It uses it once the departure cannot have been before its start: a peer that ran before has answered (it would remember), the process is as young as the node, it has announced itself at two regular periods (late announcements arrive at any distance, and a process that left sends no new ones), or announcements of before can no longer arrive, 10 s after the start. Where the record is read in time, nothing changes.

TestNoWorkBeforeRecordIsRead held that one announcement of any age suffices once the limit has passed, which is the fault. Its row now asks that it does not, and a further row that an upstream which goes on is used.

--- a/core/depart_test.go
+++ b/core/depart_test.go
@@ -112,7 +112,8 @@
 }
 
 // TestNoWorkBeforeRecordIsRead checks that a started node gives its upstream no
-// work until its record on the platform was read, or until the limit has passed.
+// work until its record on the platform was read, or until the limit has passed and the
+// upstream goes on announcing itself.
 func TestNoWorkBeforeRecordIsRead(t *testing.T) {
 	announcement := core.Announcement{Process: "p", Service: "s0", Slots: 10, Connections: 100}
 	for _, test := range []struct {
@@ -122,7 +123,8 @@
 		want bool
 	}{
 		{"not read", 900 * time.Millisecond, false, false},
-		{"not read within the limit", time.Second, false, true},
+		{"not read within the limit", time.Second, false, false},
+		{"not read, and the upstream goes on", 2 * time.Second, false, true},
 		{"read", 100 * time.Millisecond, true, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -133,6 +135,9 @@
 			for end := sn.now.Add(test.wait); sn.now.Before(end); {
 				sn.now = sn.now.Add(tickInterval)
 				sn.step(core.Tick{})
+				if sn.now.Sub(start)%time.Second == 0 {
+					sn.announce(announcement)
+				}
 			}
 			if test.read {
 				sn.step(core.RecordRead{})
@@ -143,3 +148,58 @@
 		})
 	}
 }
+
+// TestDepartureThatNobodyRemembers guards against work for an upstream process that has
+// departed: the platform did not take the departure, all nodes restart, and announcements
+// of before arrive late. A process that goes on must get work again.
+func TestDepartureThatNobodyRemembers(t *testing.T) {
+	type arrival struct {
+		after    time.Duration
+		sequence uint64
+	}
+	const old = -time.Hour
+	for _, test := range []struct {
+		name     string
+		born     time.Duration // the start of the process, from the start of the node
+		arrivals []arrival
+		elder    bool // a peer that ran before has answered
+		wait     time.Duration
+		want     bool
+	}{
+		{"one late", old, []arrival{{2700 * time.Millisecond, 6}}, false, 3 * time.Second, false},
+		{"two late, close together", old, []arrival{{2 * time.Second, 6}, {2600 * time.Millisecond, 7}}, false, 3 * time.Second, false},
+		{"two late, a period apart by chance", old, []arrival{{2 * time.Second, 6}, {3 * time.Second, 7}}, false, 4 * time.Second, false},
+		{"four late at once", old, []arrival{{2 * time.Second, 4}, {2 * time.Second, 5}, {2 * time.Second, 6}, {2 * time.Second, 7}}, false, 3 * time.Second, false},
+		{"goes on", old, []arrival{{500 * time.Millisecond, 6}, {1400 * time.Millisecond, 7}, {2500 * time.Millisecond, 8}}, false, 2500 * time.Millisecond, true},
+		{"goes on, one is lost", old, []arrival{{500 * time.Millisecond, 6}, {2500 * time.Millisecond, 8}}, false, 2500 * time.Millisecond, true},
+		{"late, then goes on", old, []arrival{{100 * time.Millisecond, 4}, {300 * time.Millisecond, 7}, {1300 * time.Millisecond, 8}, {2300 * time.Millisecond, 9}}, false, 2500 * time.Millisecond, true},
+		{"started after the node", time.Second, []arrival{{1200 * time.Millisecond, 1}}, false, 1500 * time.Millisecond, true},
+		{"started with the node", -time.Second, []arrival{{500 * time.Millisecond, 1}}, false, 1100 * time.Millisecond, true},
+		{"a peer remembers", old, []arrival{{500 * time.Millisecond, 6}}, true, 1100 * time.Millisecond, true},
+		{"long after", old, []arrival{{10500 * time.Millisecond, 6}}, false, 11 * time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			check := is.New(t)
+			sn := newUnannouncedNode(t, core.WithRecordRead(time.Second))
+			born := sn.state.Fleet().Self().StartedAt
+			if test.elder {
+				elder := fleet.Member{ID: "i9", Incarnation: 1, Address: "10.0.1.9:1", Zone: "howrah", StartedAt: born.Add(-time.Minute)}
+				sn.step(fleet.ExchangeAnswered{Peer: "i9", Epoch: sn.state.Fleet().Epoch(), Message: fleet.Message{From: "i9", Incarnation: 1, Version: 1, Members: []fleet.Member{elder}}})
+			}
+			sn.step(core.Tick{})
+			began := sn.now
+			for sn.now.Sub(began) < test.wait {
+				sn.now = sn.now.Add(tickInterval)
+				sn.step(core.Tick{})
+				for _, arrival := range test.arrivals {
+					if arrival.after == sn.now.Sub(began) {
+						sn.announce(core.Announcement{Process: "p", StartedAt: born.Add(test.born), Sequence: arrival.sequence, Service: "s0", Slots: 10, Connections: 100})
+					}
+				}
+			}
+			dispatched, _, _ := countOutcomes(sn.work(1, time.Second))
+			check.Equal(dispatched == 1, test.want)
+			check.Equal(sn.state.Fleet().Self().AcceptsWork(), test.want)
+		})
+	}
+}
--- a/core/owner.go
+++ b/core/owner.go
@@ -44,6 +44,8 @@
 	// unreachable is true if a connection to the upstream failed after its last
 	// announcement.
 	unreachable bool
+	// liveness is what the announcements since this node's start prove.
+	liveness liveness
 	// faultShare estimates the fraction of recent work that failed at the
 	// upstream.
 	faultShare stat.HitRate
@@ -79,6 +81,9 @@
 	st.upstream.known, st.upstream.departedAt = true, time.Time{}
 	st.upstream.announcement = announcement
 	st.upstream.renewedAt = now
+	doubted := !st.upstreamProven(now)
+	st.upstream.liveness.observe(announcement, st.announcementPeriod, now)
+	changed = changed || doubted && st.upstreamProven(now)
 	effects = append(effects, st.refreshUpstream(now)...)
 	if !changed {
 		return effects
@@ -132,11 +137,12 @@
 }
 
 // refreshUpstream updates the slots and the node's membership record. If the
-// announcement has expired, refreshUpstream removes the upstream. If the upstream
+// announcement has expired, refreshUpstream removes the upstream. It does nothing while the
+// upstream may have departed before this node started. If the upstream
 // is leaving or closed, queued work is refused so that it can run at another
 // upstream, and running work continues.
 func (st *State) refreshUpstream(now time.Time) []types.Effect {
-	if !st.upstream.known || !st.record.open {
+	if !st.upstream.known || !st.record.open || !st.upstreamProven(now) {
 		return nil
 	}
 	if now.Sub(st.upstream.renewedAt) > announcementExpiry {
@@ -307,6 +313,8 @@
 		return fault.New(fault.NotReady, "the node has not read its record on the platform").WithRetryAfter(defaultRetryAfter)
 	case !st.upstream.known || st.upstream.announcement.Service != work.Service:
 		return fault.New(fault.NoUpstream, "the node owns no upstream of service %q", work.Service).WithRetryAfter(defaultRetryAfter)
+	case !st.upstreamProven(now):
+		return fault.New(fault.NotReady, "the upstream may have departed before the node started").WithRetryAfter(defaultRetryAfter)
 	case st.upstream.unreachable:
 		return fault.New(fault.NoUpstream, "the upstream takes no connections").WithRetryAfter(defaultRetryAfter)
 	case st.upstream.announcement.Leaving:
--- a/core/state.go
+++ b/core/state.go
@@ -27,9 +27,11 @@
 	keys      keyState
 	upstream  localUpstream
 	record    recordGate
-	poller    rootPoller
-	ahead     aheadCheck
-	rules     ruleCache
+	// announcementPeriod is the time between two announcements of the upstream's process.
+	announcementPeriod time.Duration
+	poller             rootPoller
+	ahead              aheadCheck
+	rules              ruleCache
 	// candidates is a buffer that pick reuses to avoid allocations.
 	candidates    []route.Candidate
 	splitter      *route.Splitter
@@ -64,9 +66,10 @@
 	fleet     []fleet.Option
 	quota     quota.Bound
 
-	recordReadLimit time.Duration
-	pollInterval    time.Duration
-	exposure        types.Option[canary.Bound]
+	recordReadLimit    time.Duration
+	announcementPeriod time.Duration
+	pollInterval       time.Duration
+	exposure           types.Option[canary.Bound]
 }
 
 // Option changes a setting of a State.
@@ -120,7 +123,7 @@
 
 // New returns the state of a node that has just started.
 func New(self fleet.Member, opts ...Option) *State {
-	se := settings{policies: DefaultPolicies(), limits: flow.DefaultKeyLimits(), quota: quota.DefaultBound()}
+	se := settings{policies: DefaultPolicies(), limits: flow.DefaultKeyLimits(), quota: quota.DefaultBound(), announcementPeriod: defaultAnnouncementPeriod}
 	for _, opt := range opts {
 		opt(&se)
 	}
@@ -139,6 +142,8 @@
 		limits:        limitState{bound: se.quota, seed: se.seed},
 		rollouts:      newRollouts(self, se.exposure),
 		record:        recordGate{limit: se.recordReadLimit, open: se.recordReadLimit == 0},
+
+		announcementPeriod: se.announcementPeriod,
 	}
 	hooks := flow.Hooks{
 		Pick: st.pick, NextOwner: st.nextOwner, AttemptStarted: st.balancer.AttemptStarted, AttemptEnded: st.balancer.AttemptEnded,
@@ -253,8 +258,7 @@
 
 func (st *State) tick(now time.Time) []types.Effect {
 	st.ticked = true
-	st.record.tick(now)
-	effects := st.fleet.Tick(now)
+	effects := append(st.tickRecord(now), st.fleet.Tick(now)...)
 	effects = append(effects, st.blameChanged(st.blame.Tick(now), nil, now)...)
 	effects = append(effects, st.timelineEvents(effects, now)...)
 	effects = append(effects, st.refreshUpstream(now)...)
--- a/fleet/join.go
+++ b/fleet/join.go
@@ -39,12 +39,16 @@
 	// then, requests ask for them.
 	receivedFull bool
 	done         bool
+	// earlier is true if a peer replied that had run for at least settledAge when this
+	// process started.
+	earlier bool
 }
 
 func (jo *joinState) begin(epoch uint64) { *jo = joinState{epoch: epoch} }
 
-func (jo *joinState) recordAnswer(answer Message, now time.Time) {
+func (jo *joinState) recordAnswer(answer Message, self Member, now time.Time) {
 	jo.answered = true
+	jo.earlier = jo.earlier || len(answer.Members) > 0 && self.StartedAt.Sub(answer.Members[0].StartedAt) >= settledAge
 	jo.receivedFull = jo.receivedFull || answer.Full
 	settled := len(answer.Members) > 0 && now.Sub(answer.Members[0].StartedAt) >= settledAge
 	jo.starting = jo.starting || !settled
@@ -176,6 +180,10 @@
 	return tb.joining.done && tb.joining.settledHolders >= joinQuorum
 }
 
+// AnsweredByEarlier reports whether a peer replied that had run for a while when this process
+// started. It knows what an earlier process of this instance announced.
+func (tb *Table) AnsweredByEarlier() bool { return tb.joining.earlier }
+
 // AnsweredByStarting reports whether a peer replied that has not run for long
 // itself, as happens when many nodes start together.
 func (tb *Table) AnsweredByStarting() bool { return tb.joining.starting }
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -122,7 +122,7 @@
 func (tb *Table) HandleExchangeAnswered(event ExchangeAnswered, now time.Time) []types.Effect {
 	first := event.Epoch == tb.joining.epoch && !tb.joining.answered
 	if event.Epoch == tb.joining.epoch {
-		tb.joining.recordAnswer(event.Message, now)
+		tb.joining.recordAnswer(event.Message, tb.self, now)
 	}
 	effects := tb.merge(event.Message, now)
 	if rc, ok := tb.records[event.Message.From]; ok {
--- a/trace/event.go
+++ b/trace/event.go
@@ -29,6 +29,8 @@
 	DelegateChanged
 	UpstreamAnnounced
 	UpstreamLeft
+	// UpstreamDoubted: the upstream may have departed before this node started.
+	UpstreamDoubted
 	NodeStarted
 	NodeStopping
 	CallRefused
@@ -80,6 +82,7 @@
 	DelegateChanged:    "delegate-changed",
 	UpstreamAnnounced:  "upstream-announced",
 	UpstreamLeft:       "upstream-left",
+	UpstreamDoubted:    "upstream-doubted",
 	NodeStarted:        "node-started",
 	NodeStopping:       "node-stopping",
 	CallRefused:        "call-refused",
