Require keys where a configuration names teams and has none

Cause: that the configuration contains Tenants was lost in decoding.

Config.RequireKeys now says so apart from the number of teams. It is set where Tenants is there, with or without rows or columns (null means omitted, as for values), and kept in each form of a configuration: in the product's own file (an empty list of teams, or require-keys), in the published resources (access), in the operators' interface, at peers and after a restart, which decode the same text. The same loss stood in the own format: a merged change that removed the last team let everybody in. It now goes on to require keys unless the change removes access/access as well.

--- a/codec/bundle.go
+++ b/codec/bundle.go
@@ -75,6 +75,11 @@
 			return nil, nil, err
 		}
 	}
+	if wire.RequireKeys {
+		if err := add(conf.AccessKind, conf.AccessKey.Name, accessWire{RequireKeys: true}); err != nil {
+			return nil, nil, err
+		}
+	}
 	if wire.Limits != nil {
 		if err := add(conf.LimitsKind, conf.LimitsKey.Name, wire.Limits); err != nil {
 			return nil, nil, err
@@ -132,6 +137,10 @@
 		var item teamWire
 		err = strictJSON(body, &item)
 		wire.Teams, name = append(wire.Teams, item), item.Name
+	case conf.AccessKind:
+		var item accessWire
+		err = strictJSON(body, &item)
+		wire.RequireKeys, name = item.RequireKeys, conf.AccessKey.Name
 	case conf.LimitsKind:
 		err = strictJSON(body, &wire.Limits)
 		name = conf.LimitsKey.Name
--- a/codec/file.go
+++ b/codec/file.go
@@ -52,6 +52,8 @@
 	for _, item := range w.Teams {
 		config.Teams = append(config.Teams, item.toConf(&faults))
 	}
+	// A file with an empty list of teams requires keys that nobody has.
+	config.RequireKeys = w.RequireKeys || w.Teams != nil && len(w.Teams) == 0
 	config.Limits = w.Limits.toConf(&faults)
 	return config, faults.err()
 }
@@ -84,6 +86,7 @@
 	for _, team := range config.Teams {
 		wire.Teams = append(wire.Teams, teamToWire(team))
 	}
+	wire.RequireKeys = config.RequireKeys
 	wire.Limits = limitsToWire(config.Limits)
 	return wire
 }
--- a/codec/ops.go
+++ b/codec/ops.go
@@ -28,6 +28,7 @@
 	for _, team := range config.Teams {
 		wire.Teams = append(wire.Teams, teamToProto(team))
 	}
+	wire.RequireKeys = config.RequireKeys
 	wire.Limits = limitsToProto(config.Limits)
 	return wire
 }
@@ -91,6 +92,7 @@
 	if err != nil {
 		return conf.Config{}, err
 	}
+	config.RequireKeys = wire.GetRequireKeys()
 	config.Limits = limitsFromProto(wire.GetLimits())
 	for _, team := range wire.GetTeams() {
 		item, err := teamFromProto(team)
--- a/codec/team_test.go
+++ b/codec/team_test.go
@@ -57,3 +57,50 @@
 	is.NoErr(err)
 	is.Equal(published, config)
 }
+
+// TestRequiredKeysWithoutATeam guards against a configuration that lets everybody in as its
+// last team goes: in the file, in the published form, in the operators' interface and after
+// a change that removes the team.
+func TestRequiredKeysWithoutATeam(t *testing.T) {
+	withTeam, err := codec.ReadFile("one.yaml", []byte("teams: [{name: ward-7, keys: [a-secret]}]\n"))
+	is.New(t).NoErr(err)
+	ward := conf.Key{Kind: conf.TeamKind, Name: "ward-7"}
+	for _, test := range []struct {
+		name, file string
+		remove     []conf.Key
+		want       bool
+	}{
+		{name: "no teams", file: "services: []\n"},
+		{name: "teams of nobody", file: "teams:\n"},
+		{name: "an empty list of teams", file: "teams: []\n", want: true},
+		{name: "stated", file: "require-keys: true\n", want: true},
+		{name: "the last team removed", remove: []conf.Key{ward}, want: true},
+		{name: "the last team removed, and the resource", remove: []conf.Key{ward, conf.AccessKey}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			config, err := codec.ReadFile("input.yaml", []byte(test.file))
+			is.NoErr(err)
+			if test.remove != nil {
+				config = withTeam.Merge(conf.Config{}, test.remove)
+			}
+			is.Equal(config.RequiresKeys(), test.want)
+
+			text, err := codec.WriteFile(config)
+			is.NoErr(err)
+			again, err := codec.ReadFile("output.yaml", text)
+			is.NoErr(err)
+			is.Equal(again.RequiresKeys(), test.want)
+
+			bundle, err := codec.EncodeBundle(conf.Root{Version: 3}, config)
+			is.NoErr(err)
+			snapshot, err := codec.DecodeBundle(bundle)
+			is.NoErr(err)
+			is.Equal(snapshot.RequiresKeys(), test.want)
+
+			published, err := codec.ConfigFromProto(codec.ConfigToProto(config))
+			is.NoErr(err)
+			is.Equal(published.RequiresKeys(), test.want)
+		})
+	}
+}
--- a/codec/wire.go
+++ b/codec/wire.go
@@ -22,9 +22,15 @@
 	Routes        []routeWire   `json:"routes,omitempty" yaml:"routes,omitempty"`
 	UpstreamRules []ruleWire    `json:"upstream-rules,omitempty" yaml:"upstream-rules,omitempty"`
 	Teams         []teamWire    `json:"teams,omitempty" yaml:"teams,omitempty"`
+	RequireKeys   bool          `json:"require-keys,omitempty" yaml:"require-keys,omitempty"`
 	Limits        *limitsWire   `json:"limits,omitempty" yaml:"limits,omitempty"`
 }
 
+// accessWire is the body of the resource that requires keys of requests.
+type accessWire struct {
+	RequireKeys bool `json:"require-keys"`
+}
+
 type limitsWire struct {
 	HeaderBytes   int64  `json:"header-bytes,omitempty" yaml:"header-bytes,omitempty"`
 	BodyBytes     int64  `json:"body-bytes,omitempty" yaml:"body-bytes,omitempty"`
--- a/conf/resource.go
+++ b/conf/resource.go
@@ -16,6 +16,7 @@
 	UpstreamRuleKind
 	LimitsKind
 	TeamKind
+	AccessKind
 )
 
 // String returns the kebab-case name of the kind.
@@ -31,6 +32,8 @@
 		return "limits"
 	case TeamKind:
 		return "team"
+	case AccessKind:
+		return "access"
 	default:
 		return "unknown-resource"
 	}
@@ -39,7 +42,7 @@
 // ParseResourceKind returns the kind with the given name, or false if there is
 // none.
 func ParseResourceKind(name string) (ResourceKind, bool) {
-	for _, kind := range []ResourceKind{ServiceKind, RouteKind, UpstreamRuleKind, LimitsKind, TeamKind} {
+	for _, kind := range []ResourceKind{ServiceKind, RouteKind, UpstreamRuleKind, LimitsKind, TeamKind, AccessKind} {
 		if kind.String() == name {
 			return kind, true
 		}
@@ -57,6 +60,10 @@
 // this kind.
 var LimitsKey = Key{Kind: LimitsKind, Name: "limits"}
 
+// AccessKey is the key of the resource that requires keys of requests. A configuration has at
+// most one resource of this kind.
+var AccessKey = Key{Kind: AccessKind, Name: "access"}
+
 // RootEntry refers to one resource of a root by the resource's key and the hash
 // of its body.
 type RootEntry struct {
@@ -116,7 +123,9 @@
 	Routes        []Route
 	UpstreamRules []UpstreamRule
 	Teams         []Team
-	Limits        Limits
+	// RequireKeys is true if requests need the key of a team although there may be no team.
+	RequireKeys bool
+	Limits      Limits
 }
 
 // PackByBody returns a map from the hash of each body to the hash of the pack
--- a/conf/team.go
+++ b/conf/team.go
@@ -28,9 +28,12 @@
 // Limited reports whether the team has a limit to its requests.
 func (t Team) Limited() bool { return t.Rate > 0 }
 
-// HasTeams reports whether the configuration has teams. If it has, each request needs
-// the key of a team, unless its route is open.
-func (s Snapshot) HasTeams() bool { return len(s.config.Teams) > 0 }
+// RequiresKeys reports whether each request needs the key of a team, unless its route is
+// open. A configuration that requires keys and has no teams lets nobody in elsewhere.
+func (s Snapshot) RequiresKeys() bool { return s.config.RequiresKeys() }
+
+// RequiresKeys is like Snapshot.RequiresKeys.
+func (c Config) RequiresKeys() bool { return c.RequireKeys || len(c.Teams) > 0 }
 
 // Teams returns all teams in the order of the configuration.
 func (s Snapshot) Teams() []Team { return s.config.Teams }
--- a/core/entry.go
+++ b/core/entry.go
@@ -45,7 +45,7 @@
 	call := flow.Call{
 		ID: event.Call, Request: event.Request, Key: event.Key, Content: content,
 		Features: event.Features.WithTeam(team.Name).WithContent(content),
-		Team:     team.Name, HideCredential: st.config.Current().HasTeams(),
+		Team:     team.Name, HideCredential: st.config.Current().RequiresKeys(),
 		Route: matched, Deadline: now.Add(limit), FirstSent: now,
 	}
 	if callerLimit, ok := event.Limit.Get(); ok {
--- a/core/team.go
+++ b/core/team.go
@@ -7,12 +7,12 @@
 )
 
 // authenticate returns the team whose key a request on a route shows. The team is empty if
-// the configuration has no teams, or if the route is open and the request shows no key of
+// the configuration requires no keys, or if the route is open and the request shows no key of
 // a team. The configuration in force decides, so that a withdrawn key is refused as soon
 // as its withdrawal is in force, also on open connections.
 func (st *State) authenticate(matched conf.Route, credential types.Option[types.KeyDigest]) (conf.Team, *fault.Error) {
 	snapshot := st.config.Current()
-	if !snapshot.HasTeams() {
+	if !snapshot.RequiresKeys() {
 		return conf.Team{}, nil
 	}
 	if digest, ok := credential.Get(); ok {
--- a/node/effect.go
+++ b/node/effect.go
@@ -53,7 +53,7 @@
 		nd.pulls.cancelUpTo(ef.Snapshot.Version())
 		table := route.NewTable(ef.Snapshot)
 		nd.routes.Store(&table)
-		nd.entry.SetTeams(ef.Snapshot.HasTeams())
+		nd.entry.SetTeams(ef.Snapshot.RequiresKeys())
 		nd.applyLimits(ef.Snapshot.Limits())
 	case core.UseUpstream:
 		nd.owner.SetUpstream(ef.Process, ef.Address)
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -138,7 +138,7 @@
 // any case.
 func (en *Entry) SetMaxBody(limit int64) { en.configMaxBody.Store(limit) }
 
-// SetTeams sets whether the configuration has teams, by whose keys callers are known.
+// SetTeams sets whether the configuration requires keys of teams, by which callers are known.
 func (en *Entry) SetTeams(teams bool) { en.teams.Store(teams) }
 
 func (en *Entry) bodyLimit() int64 {
