Keep an upstream proven that a restarted node has once found going on

A node that had not read its record in time did not pass on that its upstream left: the announcement came between two periods, which ended the proof that the process goes on, and an unproven upstream is not updated. Callers got refusals at the owner until the upstream was proven again, or ten seconds had passed since the start.

The proof now lasts for the process: once it has been found going on, its departure comes to this node. core.TestDepartureOfAProvenProcessIsApplied fails on the commit before.

--- a/core/depart_test.go
+++ b/core/depart_test.go
@@ -203,3 +203,29 @@
 		})
 	}
 }
+
+// TestDepartureOfAProvenProcessIsApplied guards against a departure that has no effect, as it
+// is announced between two periods while the node still doubts what it has not seen.
+func TestDepartureOfAProvenProcessIsApplied(t *testing.T) {
+	check := is.New(t)
+	sn := newUnannouncedNode(t, core.WithRecordRead(time.Second))
+	announcement := core.Announcement{Process: "p", StartedAt: start.Add(-2 * time.Hour), Service: "s0", Slots: 10, Connections: 100}
+	send := func(after time.Duration, leaving bool) {
+		for end := sn.now.Add(after); sn.now.Before(end); {
+			sn.now = sn.now.Add(tickInterval)
+			sn.step(core.Tick{})
+		}
+		announcement.Sequence++
+		announcement.Leaving = leaving
+		sn.announce(announcement)
+	}
+	sn.step(core.Tick{})
+	for range 3 {
+		send(time.Second, false)
+	}
+	check.True(sn.state.Fleet().Self().AcceptsWork())
+	send(300*time.Millisecond, true)
+	check.True(!sn.state.Fleet().Self().AcceptsWork())
+	send(200*time.Millisecond, false)
+	check.True(sn.state.Fleet().Self().AcceptsWork())
+}
--- a/core/departure.go
+++ b/core/departure.go
@@ -132,6 +132,9 @@
 	sequence  uint64
 	heardAt   time.Time
 	periods   int
+	// proven is true once the periods suffice. What the process announces from then on
+	// comes to this node, at whatever times.
+	proven bool
 }
 
 // observe adds an announcement.
@@ -147,6 +150,7 @@
 	} else {
 		lv.periods = 0
 	}
+	lv.proven = same && lv.proven || lv.periods >= provenPeriods
 	lv.process, lv.startedAt, lv.sequence, lv.heardAt = announcement.Process, announcement.StartedAt, announcement.Sequence, now
 }
 
@@ -160,7 +164,7 @@
 	}
 	startedAt := st.upstream.announcement.StartedAt
 	young := !startedAt.IsZero() && startedAt.After(st.fleet.Self().StartedAt.Add(-freshProcess))
-	return young || st.upstream.liveness.periods >= provenPeriods
+	return young || st.upstream.liveness.proven
 }
 
 // recordDeparture records that the upstream's process has departed, as its last
--- a/core/owner.go
+++ b/core/owner.go
@@ -177,7 +177,7 @@
 	if !st.upstream.known {
 		return nil
 	}
-	st.upstream = localUpstream{announcement: st.upstream.announcement, leavingStatedAt: st.upstream.leavingStatedAt}
+	st.upstream = localUpstream{announcement: st.upstream.announcement, leavingStatedAt: st.upstream.leavingStatedAt, liveness: st.upstream.liveness}
 	st.fleet.SetUpstream("", types.None[fleet.Upstream]())
 	event := trace.Event{Kind: trace.UpstreamLeft, Subject: st.fleet.Self().ID, Detail: reason}
 	return append(st.refuseQueued(fault.NoUpstream, "the upstream is gone"), event)
