--- a/core/departure.go
+++ b/core/departure.go
@@ -139,14 +139,14 @@
 
 // observe adds an announcement.
 func (lv *liveness) observe(announcement Announcement, period time.Duration, now time.Time) {
-	steps := time.Duration(1)
+	steps := 1
 	if announcement.Sequence > lv.sequence && lv.sequence > 0 {
-		steps = time.Duration(min(announcement.Sequence-lv.sequence, provenPeriods))
+		steps = int(min(announcement.Sequence-lv.sequence, provenPeriods))
 	}
 	same := announcement.Process == lv.process && announcement.StartedAt.Equal(lv.startedAt)
-	difference := now.Sub(lv.heardAt) - steps*period
+	difference := now.Sub(lv.heardAt) - time.Duration(steps*int(period))
 	if regular := same && difference.Abs() <= period/periodTolerance; regular {
-		lv.periods += int(steps)
+		lv.periods += steps
 	} else {
 		lv.periods = 0
 	}
@@ -154,6 +154,14 @@
 	lv.process, lv.startedAt, lv.sequence, lv.heardAt = announcement.Process, announcement.StartedAt, announcement.Sequence, now
 }
 
+// provenBy adds an announcement to the evidence. It reports whether this one proves that the
+// process goes on.
+func (st *State) provenBy(announcement Announcement, now time.Time) bool {
+	doubted := !st.upstreamProven(now)
+	st.upstream.liveness.observe(announcement, st.announcementPeriod, now)
+	return doubted && st.upstreamProven(now)
+}
+
 // upstreamProven reports whether the upstream's process cannot have departed before this
 // node started. That is so if the platform's record or a peer would tell of it, if the process
 // is as young as the node or goes on announcing itself, or once announcements of before can
--- a/core/owner.go
+++ b/core/owner.go
@@ -81,9 +81,7 @@
 	st.upstream.known, st.upstream.departedAt = true, time.Time{}
 	st.upstream.announcement = announcement
 	st.upstream.renewedAt = now
-	doubted := !st.upstreamProven(now)
-	st.upstream.liveness.observe(announcement, st.announcementPeriod, now)
-	changed = changed || doubted && st.upstreamProven(now)
+	changed = st.provenBy(announcement, now) || changed
 	effects = append(effects, st.refreshUpstream(now)...)
 	if !changed {
 		return effects
