Let nodes without duties read first in place of a delegate

The node of rank 2 read first where nobody read the store for a zone. It is also the one that gets a current watch as soon as the delegate is suspected, some 1.5 s after its loss, and it takes part in the next loss of those that watch.

Nodes that neither have a current watch nor get one then come first now; the others come last, as those with current watches did.

--- a/core/readnews.go
+++ b/core/readnews.go
@@ -81,11 +81,16 @@
 	return true
 }
 
+// firstStandIn is the rank of the first node that reads in place of a delegate. Those above it
+// have current watches, which may be lost together, or get one as soon as the delegate is
+// suspected.
+const firstStandIn = currentWatches + 1
+
 // standInDelay returns how long after the first one a node reads in place of a delegate. The
-// nodes with current watches come last, as they may be lost together. The groups double in
-// size, so that one of them is soon larger than what is lost, and few nodes read at once.
+// nodes above firstStandIn come last. The groups double in size, so that one of them is soon
+// larger than what is lost, and few nodes read at once.
 func standInDelay(rank, zone int) time.Duration {
-	place := (rank - currentWatches + 2*zone) % zone
+	place := (rank - firstStandIn + firstStandIn*zone) % zone
 	return time.Duration(bits.Len(uint(place))) * standInStep
 }
 
